--- /dev/null
+++ b/granitespool/__init__.py
@@ -0,0 +1,1 @@
+"""granitespool: a central planner behind a layer of plain proxies."""
--- /dev/null
+++ b/granitespool/rules.py
@@ -0,0 +1,303 @@
+"""All decisions of granitespool: one Planner for each coordinator instance.
+
+The adapter makes Planner(host, now, seed, settings) when an instance starts, then calls one method for each thing that
+happens, with the batch clock `now` in whole nanoseconds. The planner answers by calling the host at once.
+The host's calls and the names of the settings stand in granitespool/host.py; the mechanism in docs/design.md.
+"""
+import math
+from collections import deque
+from random import Random
+
+SECOND = 1_000_000_000  # ns
+ALPHA = 0.5             # per percent: steepness of f(u), the paper's
+BETA = 80.0             # percent: where f(u) is half way up and a server counts as running over, the paper's
+PERIOD = 5 * SECOND     # ns between recomputes: the design page's start
+RAMP_STEP = 5 * SECOND  # ns for each doubling of a new server's part: slower than the slowest listed warm-up
+RAMP_START = 0.25       # part of its weight that a new, returned or restarted server starts at: the design page's
+LOWEST_SPAN = 60 * SECOND  # ns that the lowest mean is looked for in: the design page's minute
+KEEP = 0.5              # part of what was heard that a recompute carries on: about two periods' worth
+HEARD_LEAST = 3.0       # answers below which a server's mean is chance, so it counts as unheard
+RESEND = 0.1            # part a weight must move by to be sent: the design page's tenth
+CUT_REPORTS = 2         # reports running over before a cut: the design page's
+CUT_SHARE = 3           # at most one in this many of the listed ready servers is cut from a table: the design page's
+UNHEARD_PERIODS = 2     # periods that a cut server stays unheard before it comes back: the design page's
+PACE = SECOND           # ns between looks at load and at cut servers: the period of the reports
+CALL_AGAIN = SECOND     # ns before a failed list call is made again: under a tenth of the time allowed for it
+MESSAGE_ROOM = 1.25     # times the shortest gap that keeps the messages to a proxy under their cap
+SERIALS = 65536         # marks are whole numbers under this
+
+
+class Link:
+    """What the proxies of one zone met at a backend, and what that makes of it."""
+    __slots__ = ("tries", "failed", "answered", "time", "lows", "over", "cut_at", "ramp_from", "cost")
+
+    def __init__(self):
+        self.tries = self.failed = self.answered = self.time = 0.0
+        self.lows = deque()
+        self.over, self.cut_at, self.ramp_from, self.cost = 0, None, None, None
+
+
+class Backend:
+    """The one record of a backend."""
+    __slots__ = ("id", "zone", "phase", "listed", "started", "ramp_from", "busy", "service", "links", "sent")
+
+    def __init__(self, backend):
+        self.id, self.zone, self.phase, self.listed, self.started = backend, None, "gone", 1.0, 0
+        self.ramp_from = self.busy = self.service = None
+        self.links, self.sent = {}, {}
+
+    def link(self, zone):
+        return self.links.get(zone) or self.links.setdefault(zone, Link())
+
+
+class Planner:
+    def __init__(self, host, now, seed, settings):
+        self.host, self.settings = host, settings
+        self.jitter = Random(seed).uniform
+        self.backends, self.proxies = {}, {}      # id -> Backend; id -> [zone, bound]
+        self.tables, self.average = {}, {}        # zone -> table number; zone -> average cost, ns
+        self.levels = {}                          # table -> {class position: (share, retries)} as sent
+        self.out, self.serial, self.reply_at = deque(), 0, None  # messages not known to have left the channel
+        self.next_flush, self.flush_due, self.ordinary_due = 0, False, False
+        self.listed_once = False
+        for zone in settings.get("zones") or []:
+            self._table(zone)
+        if settings.get("subscribe"):
+            host.observe(True)
+        host.wake(PERIOD, "round")
+        host.wake(PACE, "pace")
+
+    # ---- the list
+
+    def list_news(self, now, form, entries):
+        if form == "failed":
+            self.host.wake(int(CALL_AGAIN * self.jitter(0.5, 1.5)), "observe")
+            return
+        seen = set()
+        for entry in entries:
+            self._entry(now, **entry)
+            seen.add(entry["backend"])
+        if form != "changes":
+            for rec in self.backends.values():
+                if rec.id not in seen:
+                    rec.phase = "gone"
+        self.listed_once = True
+        self._flush(now, False)
+
+    def _entry(self, now, backend, zone, cell, phase, weight, started):
+        rec = self.backends.get(backend)
+        if rec is None:
+            rec = self.backends[backend] = Backend(backend)
+        fresh = phase == "ready" and (rec.phase == "gone" or started > rec.started)
+        if fresh:
+            rec.links.clear()
+            rec.busy = rec.service = None
+            # At an instance's start nothing is heard of anyone: only those still cold are new, or a cold one would
+            # get as much as the rest.
+            cold = started and now - started < self.settings.get("cold_time", 0)
+            rec.ramp_from = now if self.listed_once else started if cold else None
+        rec.zone, rec.phase, rec.started = zone, phase, max(started, rec.started)
+        rec.listed = weight if weight > 0 else 1.0
+
+    # ---- time
+
+    def timer(self, now, cookie):
+        if cookie == "round":
+            self.host.wake(PERIOD, "round")
+            self._round(now)
+        elif cookie == "pace":
+            self.host.wake(PACE, "pace")
+            self._pace(now)
+        elif cookie == "flush":
+            self.flush_due = False
+            self._flush(now, False)
+        elif cookie == "observe":
+            self.host.observe(True)
+
+    def _round(self, now):
+        for zone in self.tables:
+            costs = []
+            for rec in self.backends.values():
+                link = rec.link(zone)
+                link.cost = self._cost(now, rec, link)
+                if link.cost is not None and rec.phase == "ready" and link.cut_at is None:
+                    costs.append(link.cost)
+                link.tries, link.failed = link.tries * KEEP, link.failed * KEEP
+                link.answered, link.time = link.answered * KEEP, link.time * KEEP
+            self.average[zone] = sum(costs) / len(costs) if costs else None
+        self._flush(now, True)
+
+    def _cost(self, now, rec, link):
+        """W = (p*2*RTT + (1-p)*RTT) * f(u), or None where too little was heard."""
+        if link.answered < HEARD_LEAST:
+            return None
+        rtt, errors = link.time / link.answered, link.failed / link.tries
+        link.lows.append((now, rtt))
+        while link.lows[0][0] < now - LOWEST_SPAN:
+            link.lows.popleft()
+        u = self._utilization(rec, link, rtt)
+        return (errors * 2 * rtt + (1 - errors) * rtt) * (1 + 1 / (1 + math.exp(ALPHA * (BETA - u))))
+
+    def _utilization(self, rec, link, rtt):
+        if rec.busy is not None:
+            return 100 * rec.busy
+        if rec.service is not None:
+            return 100 * max(0.0, 1 - rec.service / rtt)
+        lowest = min((mean for _, mean in link.lows), default=rtt)
+        return 100 * max(0.0, rtt - lowest) / rtt
+
+    def _pace(self, now):
+        for rec in self.backends.values():
+            for zone, link in rec.links.items():
+                if link.cut_at is not None and now - link.cut_at >= UNHEARD_PERIODS * PERIOD:
+                    rec.links[zone] = Link()
+                    rec.links[zone].ramp_from = now
+        self._flush(now, False)
+
+    # ---- what is heard
+
+    def heard(self, now, zone, backend, tries, failed, mean, window, load):
+        rec = self.backends.get(backend)
+        if rec is None or tries <= 0:
+            return
+        self._table(zone)
+        link = rec.link(zone)
+        rec.busy, rec.service = load.get("busy", rec.busy), load.get("service", rec.service)
+        answered = max(0, tries - failed) if mean > 0 else 0
+        link.tries, link.failed = link.tries + tries, link.failed + min(failed, tries)
+        link.answered, link.time = link.answered + answered, link.time + answered * mean
+        u = self._utilization(rec, link, mean) if answered else 0
+        over = failed >= tries or u > BETA
+        link.over = link.over + 1 if over else 0
+        if link.cut_at is not None and not over:
+            link.cut_at, link.ramp_from = None, now
+            self._flush(now, False)
+        elif link.over >= CUT_REPORTS and link.cut_at is None and self._may_cut(zone):
+            link.cut_at = now
+            self._flush(now, False)
+
+    def _may_cut(self, zone):
+        ready = [r for r in self.backends.values() if r.phase == "ready"]
+        out = sum(1 for r in ready if zone in r.links and r.links[zone].cut_at is not None)
+        return (out + 1) * CUT_SHARE <= len(ready)
+
+    def probed(self, now, backend, status, took, load):
+        pass
+
+    def arrivals(self, now, proxy, grade, number, unanswered, window):
+        pass
+
+    def peer_said(self, now, peer, contents):
+        pass
+
+    # ---- proxies
+
+    def joined(self, now, proxy, zone, standing, rate):
+        self.proxies[proxy] = [zone, False]
+        self._table(zone)
+        self._flush(now, False)
+        self._bind(now, proxy)
+
+    def left(self, now, proxy):
+        self.proxies.pop(proxy, None)
+        for _, lines in self.out:
+            lines.pop(proxy, None)
+
+    def applied(self, now, proxy, serial, took):
+        if any(s == serial for s, _ in self.out):
+            while self.out[0][0] != serial:  # the channel is one queue: what was ordered before has left it too
+                self.out.popleft()
+            self.out[0][1].pop(proxy, None)
+
+    # ---- slices
+
+    def slice_load(self, now, table, grade, number, unanswered, window):
+        pass
+
+    def slice_given(self, now, table, ours):
+        pass
+
+    def slice_line(self, now, table, backend, weight):
+        pass
+
+    # ---- orders
+
+    def _table(self, zone):
+        return self.tables.setdefault(zone, len(self.tables))
+
+    def _want(self, now, rec, zone):
+        link = rec.link(zone)
+        if rec.phase != "ready" or link.cut_at is not None:
+            return 0.0
+        average, part = self.average.get(zone), 1.0
+        for since in (rec.ramp_from, link.ramp_from):
+            if since is not None:
+                part = min(part, RAMP_START * 2.0 ** ((now - since) // RAMP_STEP))
+        cost = average / link.cost if average and link.cost else 1.0
+        return round(rec.listed * cost * part, 4)
+
+    def _flush(self, now, ordinary):
+        """Sends what differs between wanted and sent tables; ordinary changes only while the backlog is short."""
+        self.ordinary_due |= ordinary
+        if now < self.next_flush:
+            if not self.flush_due:
+                self.flush_due = True
+                self.host.wake(self.next_flush - now, "flush")
+            return
+        ordinary = self.ordinary_due and self._waiting() < self.settings.get("backlog_limit", 1e9) / 2
+        self.ordinary_due = False
+        before = self.serial
+        for zone, table in self.tables.items():
+            users = [p for p, (z, bound) in self.proxies.items() if z == zone and bound]
+            for rec in self.backends.values():
+                want, sent = self._want(now, rec, zone), rec.sent.get(table, 0.0)
+                if want == sent:
+                    continue
+                rule = want == 0 or sent == 0 or (want < sent and rec.ramp_from and now - rec.ramp_from < PERIOD)
+                if rule or ordinary and abs(want - sent) > RESEND * sent:
+                    self.host.weigh(table, rec.id, want)
+                    rec.sent[table] = want
+                    for proxy in users:
+                        self._count(now, proxy, 1)
+            self._levels(now, table, users)
+        if self.serial != before and self.settings.get("messages_limit"):
+            span = self.settings.get("messages_span", 10 * SECOND)
+            self.next_flush = now + int(MESSAGE_ROOM * span / self.settings["messages_limit"])
+        for proxy in self.proxies:
+            self._bind(now, proxy)
+
+    def _levels(self, now, table, users):
+        sent = self.levels.setdefault(table, {})
+        for position, kind in enumerate(self.settings.get("classes") or []):
+            retries = 2 if kind.get("effect") == "free" else 1
+            usual = (1.0, self.settings.get("usual_retry", 0))
+            want = (1.0, retries)
+            if sent.get(position, usual) != want:
+                sent[position] = want
+                self.host.level(table, 1 << position, *want)
+                for proxy in users:
+                    self._count(now, proxy, 1)
+
+    def _bind(self, now, proxy):
+        zone, bound = self.proxies[proxy]
+        if bound:
+            return
+        table = self._table(zone)
+        lines = sum(1 for rec in self.backends.values() if rec.sent.get(table))
+        if lines:  # an empty table would leave the proxy worse off than what it holds
+            self.proxies[proxy][1] = True
+            self.host.bind(proxy, table, 0)
+            self._count(now, proxy, 1 + lines + len(self.levels.get(table, ())))
+
+    def _count(self, now, proxy, lines):
+        """Books lines to the message that this reply sends a proxy; the first of a reply asks for an answer."""
+        if self.reply_at != now:
+            self.reply_at, self.serial = now, (self.serial + 1) % SERIALS
+            self.out.append((self.serial, {}))
+            self.host.mark(self.serial, False)
+        booked = self.out[-1][1]
+        booked[proxy] = booked.get(proxy, self.settings.get("message_head", 0) + 1) + lines
+
+    def _waiting(self):
+        """Lines that may still wait in the channel: all that no mark has told to have left."""
+        return sum(sum(lines.values()) for _, lines in self.out)
