--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -24,6 +24,11 @@
 PACE = SECOND           # ns between looks at load and at cut servers: the period of the reports
 CALL_AGAIN = SECOND     # ns before a failed list call is made again: under a tenth of the time allowed for it
 MESSAGE_ROOM = 1.25     # times the shortest gap that keeps the messages to a proxy under their cap
+RECENT = 0.5            # part of the fleet's sums that each look carries on: about two report periods' worth
+STRAINED_ERRORS = 0.15  # share failing at the middle server that means the whole fleet fails, not a few servers
+CALM_ERRORS = 0.05      # share failing at the middle server under which further tries find a healthy one
+STRAINED_TIME = 0.8     # part of the shortest promised time: a mean above it means many answers come too late
+CALM_TIME = 0.5         # part of the shortest promised time: below it there is room to spare
 SERIALS = 65536         # marks are whole numbers under this
 
 
@@ -39,12 +44,14 @@
 
 class Backend:
     """The one record of a backend."""
-    __slots__ = ("id", "zone", "phase", "listed", "started", "ramp_from", "busy", "service", "links", "sent")
+    __slots__ = ("id", "zone", "phase", "listed", "started", "ramp_from", "busy", "service", "links", "sent",
+                 "tried", "missed", "done", "spent")
 
     def __init__(self, backend):
         self.id, self.zone, self.phase, self.listed, self.started = backend, None, "gone", 1.0, 0
         self.ramp_from = self.busy = self.service = None
         self.links, self.sent = {}, {}
+        self.tried = self.missed = self.done = self.spent = 0.0
 
     def link(self, zone):
         return self.links.get(zone) or self.links.setdefault(zone, Link())
@@ -59,7 +66,7 @@
         self.levels = {}                          # table -> {class position: (share, retries)} as sent
         self.out, self.serial, self.reply_at = deque(), 0, None  # messages not known to have left the channel
         self.next_flush, self.flush_due, self.ordinary_due = 0, False, False
-        self.listed_once = False
+        self.listed_once, self.calm, self.strained = False, True, False
         for zone in settings.get("zones") or []:
             self._table(zone)
         if settings.get("subscribe"):
@@ -146,7 +153,22 @@
         lowest = min((mean for _, mean in link.lows), default=rtt)
         return 100 * max(0.0, rtt - lowest) / rtt
 
+    def _strain(self):
+        """Tells trouble of the whole fleet from trouble of a few servers, by the middle server."""
+        heard = [rec for rec in self.backends.values() if rec.tried >= 1]
+        if heard:
+            errors = sorted(rec.missed / rec.tried for rec in heard)[len(heard) // 2]
+            done = sum(rec.done for rec in heard)
+            mean = sum(rec.spent for rec in heard) / done if done else 0
+            promised = min((c["promised_time"] for c in self.settings.get("classes") or []), default=SECOND)
+            self.strained = errors > STRAINED_ERRORS or mean > STRAINED_TIME * promised
+            self.calm = errors < CALM_ERRORS and mean < CALM_TIME * promised
+        for rec in self.backends.values():
+            rec.tried, rec.missed = rec.tried * RECENT, rec.missed * RECENT
+            rec.done, rec.spent = rec.done * RECENT, rec.spent * RECENT
+
     def _pace(self, now):
+        self._strain()
         for rec in self.backends.values():
             for zone, link in rec.links.items():
                 if link.cut_at is not None and now - link.cut_at >= UNHEARD_PERIODS * PERIOD:
@@ -166,6 +188,8 @@
         answered = max(0, tries - failed) if mean > 0 else 0
         link.tries, link.failed = link.tries + tries, link.failed + min(failed, tries)
         link.answered, link.time = link.answered + answered, link.time + answered * mean
+        rec.tried, rec.missed = rec.tried + tries, rec.missed + min(failed, tries)
+        rec.done, rec.spent = rec.done + answered, rec.spent + answered * mean
         u = self._utilization(rec, link, mean) if answered else 0
         over = failed >= tries or u > BETA
         link.over = link.over + 1 if over else 0
@@ -269,7 +293,8 @@
     def _levels(self, now, table, users):
         sent = self.levels.setdefault(table, {})
         for position, kind in enumerate(self.settings.get("classes") or []):
-            retries = 2 if kind.get("effect") == "free" else 1
+            # In a storm each further try adds to it; while a few servers fail it finds a healthy one.
+            retries = 0 if self.strained else 2 if self.calm and kind.get("effect") == "free" else 1
             usual = (1.0, self.settings.get("usual_retry", 0))
             want = (1.0, retries)
             if sent.get(position, usual) != want:
