Use the answer-time stand-in for u even where util is reported

Cause: a busy server is not a failing one; util ran over 80% on most slow machines and the cut took a third of them out under load. Hypothesis 'reported util is a truer u' not borne out.

--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -146,8 +146,6 @@
         return (errors * 2 * rtt + (1 - errors) * rtt) * (1 + 1 / (1 + math.exp(ALPHA * (BETA - u))))
 
     def _utilization(self, rec, link, rtt):
-        if rec.busy is not None:
-            return 100 * rec.busy
         if rec.service is not None:
             return 100 * max(0.0, 1 - rec.service / rtt)
         lowest = min((mean for _, mean in link.lows), default=rtt)
