Shed least benefit per promised time while the whole fleet strains

Cause: above capacity queues fill and nearly all answers come late. Harm: trouble of many servers for one zone reads as overload.

--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -29,6 +29,12 @@
 CALM_ERRORS = 0.05      # share failing at the middle server under which further tries find a healthy one
 STRAINED_TIME = 0.8     # part of the shortest promised time: a mean above it means many answers come too late
 CALM_TIME = 0.5         # part of the shortest promised time: below it there is room to spare
+SHED_KEEP = 0.95        # part of the answered rate that is let in while strained: lets queues run down
+SHED_STEP = 0.95        # factor a look while the strain lasts: the reports are two to three looks late
+SHED_BACK = 0.04        # share given back a look without strain: the full share returns within half a minute
+SHED_LEAST = 0.15       # share of the work that is always let in: what is heard must not run dry
+SHED_FLOOR = 0.1        # share of each class that is let in however low its benefit: the worst class counts too
+SHED_MOVE = 0.03        # move of a level that is worth a message
 SERIALS = 65536         # marks are whole numbers under this
 
 
@@ -67,6 +73,7 @@
         self.out, self.serial, self.reply_at = deque(), 0, None  # messages not known to have left the channel
         self.next_flush, self.flush_due, self.ordinary_due = 0, False, False
         self.listed_once, self.calm, self.strained = False, True, False
+        self.room, self.asked = 1.0, {}           # share of the work let in; class name -> transactions lately
         for zone in settings.get("zones") or []:
             self._table(zone)
         if settings.get("subscribe"):
@@ -161,9 +168,34 @@
             promised = min((c["promised_time"] for c in self.settings.get("classes") or []), default=SECOND)
             self.strained = errors > STRAINED_ERRORS or mean > STRAINED_TIME * promised
             self.calm = errors < CALM_ERRORS and mean < CALM_TIME * promised
+            self._shed(done)
         for rec in self.backends.values():
             rec.tried, rec.missed = rec.tried * RECENT, rec.missed * RECENT
             rec.done, rec.spent = rec.done * RECENT, rec.spent * RECENT
+        for name in self.asked:
+            self.asked[name] *= RECENT
+
+    def _shed(self, done):
+        """How much work is let in: what the servers answered while the whole fleet strains, more as it eases."""
+        asked = sum(self.asked.values())
+        if self.strained and asked > 0:
+            self.room = max(SHED_LEAST, min(self.room * SHED_STEP, SHED_KEEP * done / asked))
+        elif self.calm:
+            self.room = min(1.0, self.room + SHED_BACK)
+
+    def _shares(self):
+        """The share of each class let in: least benefit per work goes first, and promised time stands for work."""
+        classes = self.settings.get("classes") or []
+        work = [self.asked.get(kind["name"], 0) * kind["promised_time"] for kind in classes]
+        room, shares = self.room * sum(work), [1.0] * len(classes)
+        if self.room >= 1 or not room or self.settings.get("admission") not in ("fraction", "per_second"):
+            return shares
+        room -= SHED_FLOOR * sum(work)
+        for k in sorted(range(len(classes)), key=lambda k: -classes[k]["benefit"] / classes[k]["promised_time"]):
+            given = max(0.0, min(room, (1 - SHED_FLOOR) * work[k]))
+            room -= given
+            shares[k] = round(SHED_FLOOR + given / work[k], 3) if work[k] else 1.0
+        return shares
 
     def _pace(self, now):
         self._strain()
@@ -207,7 +239,7 @@
         pass
 
     def arrivals(self, now, proxy, grade, number, unanswered, window):
-        pass
+        self.asked[grade] = self.asked.get(grade, 0) + number
 
     def peer_said(self, now, peer, contents):
         pass
@@ -289,13 +321,16 @@
             self._bind(now, proxy)
 
     def _levels(self, now, table, users):
-        sent = self.levels.setdefault(table, {})
+        sent, shares = self.levels.setdefault(table, {}), self._shares()
         for position, kind in enumerate(self.settings.get("classes") or []):
             # In a storm each further try adds to it; while a few servers fail it finds a healthy one.
             retries = 0 if self.strained else 2 if self.calm and kind.get("effect") == "free" else 1
             usual = (1.0, self.settings.get("usual_retry", 0))
-            want = (1.0, retries)
-            if sent.get(position, usual) != want:
+            share, had = shares[position], sent.get(position, usual)
+            if abs(share - had[0]) < SHED_MOVE and share < 1:
+                share = had[0]
+            want = (share, retries)
+            if had != want:
                 sent[position] = want
                 self.host.level(table, 1 << position, *want)
                 for proxy in users:
