Keep servers past the cap on cuts as a last resort at 2% weight

Cause: in a zone cut more than a third of the servers fail for one zone at once and the cap left them their share.

--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -20,6 +20,7 @@
 RESEND = 0.1            # part a weight must move by to be sent: the design page's tenth
 CUT_REPORTS = 2         # reports running over before a cut: the design page's
 CUT_SHARE = 3           # at most one in this many of the listed ready servers is cut from a table: the design page's
+LAST_RESORT = 0.02      # part of its weight that a server over the cap on cuts keeps: a few tries to hear it by
 UNHEARD_PERIODS = 2     # periods that a cut server stays unheard before it comes back: the design page's
 PACE = SECOND           # ns between looks at load and at cut servers: the period of the reports
 CALL_AGAIN = SECOND     # ns before a failed list call is made again: under a tenth of the time allowed for it
@@ -40,12 +41,12 @@
 
 class Link:
     """What the proxies of one zone met at a backend, and what that makes of it."""
-    __slots__ = ("tries", "failed", "answered", "time", "lows", "over", "cut_at", "ramp_from", "cost")
+    __slots__ = ("tries", "failed", "answered", "time", "lows", "over", "cut_at", "spare", "ramp_from", "cost")
 
     def __init__(self):
         self.tries = self.failed = self.answered = self.time = 0.0
         self.lows = deque()
-        self.over, self.cut_at, self.ramp_from, self.cost = 0, None, None, None
+        self.over, self.cut_at, self.spare, self.ramp_from, self.cost = 0, None, False, None, None
 
 
 class Backend:
@@ -159,10 +160,14 @@
         return 100 * max(0.0, rtt - lowest) / rtt
 
     def _strain(self):
-        """Tells trouble of the whole fleet from trouble of a few servers, by the middle server."""
+        """Tells trouble of the whole fleet from trouble of a few servers, by the server of the middle try."""
         heard = [rec for rec in self.backends.values() if rec.tried >= 1]
         if heard:
-            errors = sorted(rec.missed / rec.tried for rec in heard)[len(heard) // 2]
+            half, errors = sum(rec.tried for rec in heard) / 2, 0.0
+            for rec in sorted(heard, key=lambda rec: rec.missed / rec.tried):
+                errors, half = rec.missed / rec.tried, half - rec.tried
+                if half <= 0:
+                    break
             done = sum(rec.done for rec in heard)
             mean = sum(rec.spent for rec in heard) / done if done else 0
             promised = min((c["promised_time"] for c in self.settings.get("classes") or []), default=SECOND)
@@ -201,7 +206,7 @@
         self._strain()
         for rec in self.backends.values():
             for zone, link in rec.links.items():
-                if link.cut_at is not None and now - link.cut_at >= UNHEARD_PERIODS * PERIOD:
+                if link.cut_at is not None and not link.spare and now - link.cut_at >= UNHEARD_PERIODS * PERIOD:
                     rec.links[zone] = Link()
                     rec.links[zone].ramp_from = now
         self._flush(now, False)
@@ -226,13 +231,15 @@
         if link.cut_at is not None and not over:
             link.cut_at, link.ramp_from = None, now
             self._flush(now, False)
-        elif link.over >= CUT_REPORTS and link.cut_at is None and self._may_cut(zone):
-            link.cut_at = now
+        elif link.over >= CUT_REPORTS and link.cut_at is None:
+            # Past the cap a server stays as a last resort: a zone cut off fails more than a third at once, and a
+            # few tries tell when it heals. Should all fail alike, all weights fall alike and the table is whole.
+            link.spare, link.cut_at = not self._may_cut(zone), now
             self._flush(now, False)
 
     def _may_cut(self, zone):
         ready = [r for r in self.backends.values() if r.phase == "ready"]
-        out = sum(1 for r in ready if zone in r.links and r.links[zone].cut_at is not None)
+        out = sum(1 for r in ready if zone in r.links and r.links[zone].cut_at is not None and not r.links[zone].spare)
         return (out + 1) * CUT_SHARE <= len(ready)
 
     def probed(self, now, backend, status, took, load):
@@ -281,12 +288,14 @@
 
     def _want(self, now, rec, zone):
         link = rec.link(zone)
-        if rec.phase != "ready" or link.cut_at is not None:
+        if rec.phase != "ready" or link.cut_at is not None and not link.spare:
             return 0.0
         average, part = self.average.get(zone), 1.0
         for since in (rec.ramp_from, link.ramp_from):
             if since is not None:
                 part = min(part, RAMP_START * 2.0 ** ((now - since) // RAMP_STEP))
+        if link.cut_at is not None:
+            part = min(part, LAST_RESORT)
         cost = average / link.cost if average and link.cost else 1.0
         return round(rec.listed * cost * part, 4)
 
@@ -307,7 +316,9 @@
                 want, sent = self._want(now, rec, zone), rec.sent.get(table, 0.0)
                 if want == sent:
                     continue
-                rule = want == 0 or sent == 0 or (want < sent and rec.ramp_from and now - rec.ramp_from < PERIOD)
+                link = rec.link(zone)
+                since = max(rec.ramp_from or 0, link.cut_at or 0)
+                rule = want == 0 or sent == 0 or (want < sent and since and now - since < PERIOD)
                 if rule or ordinary and abs(want - sent) > RESEND * sent:
                     self.host.weigh(table, rec.id, want)
                     rec.sent[table] = want
