--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -32,7 +32,7 @@
 CALM_TIME = 0.5         # part of the shortest promised time: below it there is room to spare
 SHED_KEEP = 0.95        # part of the answered rate that is let in while strained: lets queues run down
 SHED_STEP = 0.95        # factor a look while the strain lasts: the reports are two to three looks late
-SHED_BACK = 0.04        # share given back a look without strain: the full share returns within half a minute
+SHED_BACK = 1.08        # factor a look without strain: as refused clients stop asking again, room grows by itself
 SHED_LEAST = 0.15       # share of the work that is always let in: what is heard must not run dry
 SHED_FLOOR = 0.1        # share of each class that is let in however low its benefit: the worst class counts too
 SHED_MOVE = 0.03        # move of a level that is worth a message
@@ -185,8 +185,8 @@
         asked = sum(self.asked.values())
         if self.strained and asked > 0:
             self.room = max(SHED_LEAST, min(self.room * SHED_STEP, SHED_KEEP * done / asked))
-        elif self.calm:
-            self.room = min(1.0, self.room + SHED_BACK)
+        elif not self.strained:
+            self.room = min(1.0, self.room * SHED_BACK)
 
     def _shares(self):
         """The share of each class let in: least benefit per work goes first, and promised time stands for work."""
