Cut for failures only on five tries running, for u only while the fleet is at ease

Cause: one or two tries failing in two reports cut servers that were merely slow; each cut loaded the rest and they were cut in turn. Also guards against any small count; harm: a failing server with little traffic is cut later.

--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -19,6 +19,7 @@
 HEARD_LEAST = 3.0       # answers below which a server's mean is chance, so it counts as unheard
 RESEND = 0.1            # part a weight must move by to be sent: the design page's tenth
 CUT_REPORTS = 2         # reports running over before a cut: the design page's
+CUT_TRIES = 5           # tries running that a cut for failures rests on: one or two failing are chance
 CUT_SHARE = 3           # at most one in this many of the listed ready servers is cut from a table: the design page's
 LAST_RESORT = 0.02      # part of its weight that a server over the cap on cuts keeps: a few tries to hear it by
 UNHEARD_PERIODS = 2     # periods that a cut server stays unheard before it comes back: the design page's
@@ -41,12 +42,12 @@
 
 class Link:
     """What the proxies of one zone met at a backend, and what that makes of it."""
-    __slots__ = ("tries", "failed", "answered", "time", "lows", "over", "cut_at", "spare", "ramp_from", "cost")
+    __slots__ = ("tries", "failed", "answered", "time", "lows", "over", "streak", "cut_at", "spare", "ramp_from", "cost")
 
     def __init__(self):
         self.tries = self.failed = self.answered = self.time = 0.0
         self.lows = deque()
-        self.over, self.cut_at, self.spare, self.ramp_from, self.cost = 0, None, False, None, None
+        self.over, self.streak, self.cut_at, self.spare, self.ramp_from, self.cost = 0, 0, None, False, None, None
 
 
 class Backend:
@@ -225,13 +226,16 @@
         link.answered, link.time = link.answered + answered, link.time + answered * mean
         rec.tried, rec.missed = rec.tried + tries, rec.missed + min(failed, tries)
         rec.done, rec.spent = rec.done + answered, rec.spent + answered * mean
-        u = self._utilization(rec, link, mean) if answered else 0
-        over = failed >= tries or u > BETA
+        u = self._utilization(rec, link, link.time / link.answered) if answered else 0
+        # A report of failures alone is an alarm like u over 80%, once enough tries stand behind it; u is none while
+        # the whole fleet strains, for then cutting only moves the load.
+        link.streak = 0 if failed < tries else link.streak + tries
+        over = failed >= tries or u > BETA and not self.strained
         link.over = link.over + 1 if over else 0
         if link.cut_at is not None and not over:
             link.cut_at, link.ramp_from = None, now
             self._flush(now, False)
-        elif link.over >= CUT_REPORTS and link.cut_at is None:
+        elif link.over >= CUT_REPORTS and link.cut_at is None and (link.streak >= CUT_TRIES or answered):
             # Past the cap a server stays as a last resort: a zone cut off fails more than a third at once, and a
             # few tries tell when it heals. Should all fail alike, all weights fall alike and the table is whole.
             link.spare, link.cut_at = not self._may_cut(zone), now
