--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -75,6 +75,7 @@
         self.out, self.serial, self.reply_at = deque(), 0, None  # messages not known to have left the channel
         self.next_flush, self.flush_due, self.ordinary_due = 0, False, False
         self.listed_once, self.calm, self.strained = False, True, False
+        self.through = 1.0                        # share of all tries that is answered lately
         self.room, self.asked = 1.0, {}           # share of the work let in; class name -> transactions lately
         for zone in settings.get("zones") or []:
             self._table(zone)
@@ -174,6 +175,8 @@
             promised = min((c["promised_time"] for c in self.settings.get("classes") or []), default=SECOND)
             self.strained = errors > STRAINED_ERRORS or mean > STRAINED_TIME * promised
             self.calm = errors < CALM_ERRORS and mean < CALM_TIME * promised
+            tries = sum(rec.tried for rec in heard)
+            self.through = 1 - sum(rec.missed for rec in heard) / tries
             self._shed(done)
         for rec in self.backends.values():
             rec.tried, rec.missed = rec.tried * RECENT, rec.missed * RECENT
@@ -287,6 +290,9 @@
 
     # ---- orders
 
+    def _cold(self, now, rec):
+        return rec.ramp_from is not None and now - rec.started < self.settings.get("cold_time", 0)
+
     def _table(self, zone):
         return self.tables.setdefault(zone, len(self.tables))
 
@@ -300,6 +306,10 @@
                 part = min(part, RAMP_START * 2.0 ** ((now - since) // RAMP_STEP))
         if link.cut_at is not None:
             part = min(part, LAST_RESORT)
+        if self._cold(now, rec):
+            # In a storm of tries a quarter weight is many times a quarter of the work: a cold server gets its
+            # part of what is answered. Harm: one that starts into a storm warms with little traffic.
+            part *= self.through
         cost = average / link.cost if average and link.cost else 1.0
         return round(rec.listed * cost * part, 4)
 
@@ -321,8 +331,8 @@
                 if want == sent:
                     continue
                 link = rec.link(zone)
-                since = max(rec.ramp_from or 0, link.cut_at or 0)
-                rule = want == 0 or sent == 0 or (want < sent and since and now - since < PERIOD)
+                rule = want == 0 or sent == 0 or want < sent * (1 - RESEND) and (
+                    self._cold(now, rec) or link.cut_at is not None)
                 if rule or ordinary and abs(want - sent) > RESEND * sent:
                     self.host.weigh(table, rec.id, want)
                     rec.sent[table] = want
