Order second tries after any failure only while single servers fail

Cause: a second try gives up the first at about the promised time and doubles work just when the fleet is slow.

--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -29,6 +29,7 @@
 RECENT = 0.5            # part of the fleet's sums that each look carries on: about two report periods' worth
 STRAINED_ERRORS = 0.15  # share failing at the middle server that means the whole fleet fails, not a few servers
 CALM_ERRORS = 0.05      # share failing at the middle server under which further tries find a healthy one
+FAILING = 0.4           # share failing at one server, the others calm, that makes a second try worth its work
 STRAINED_TIME = 0.8     # part of the shortest promised time: a mean above it means many answers come too late
 CALM_TIME = 0.5         # part of the shortest promised time: below it there is room to spare
 SHED_KEEP = 0.95        # part of the answered rate that is let in while strained: lets queues run down
@@ -74,7 +75,7 @@
         self.levels = {}                          # table -> {class position: (share, retries)} as sent
         self.out, self.serial, self.reply_at = deque(), 0, None  # messages not known to have left the channel
         self.next_flush, self.flush_due, self.ordinary_due = 0, False, False
-        self.listed_once, self.calm, self.strained = False, True, False
+        self.listed_once, self.failing, self.strained = False, False, False
         self.through = 1.0                        # share of all tries that is answered lately
         self.room, self.asked = 1.0, {}           # share of the work let in; class name -> transactions lately
         for zone in settings.get("zones") or []:
@@ -174,7 +175,8 @@
             mean = sum(rec.spent for rec in heard) / done if done else 0
             promised = min((c["promised_time"] for c in self.settings.get("classes") or []), default=SECOND)
             self.strained = errors > STRAINED_ERRORS or mean > STRAINED_TIME * promised
-            self.calm = errors < CALM_ERRORS and mean < CALM_TIME * promised
+            calm = errors < CALM_ERRORS and mean < CALM_TIME * promised
+            self.failing = calm and any(rec.tried >= HEARD_LEAST and rec.missed > FAILING * rec.tried for rec in heard)
             tries = sum(rec.tried for rec in heard)
             self.through = 1 - sum(rec.missed for rec in heard) / tries
             self._shed(done)
@@ -349,7 +351,7 @@
         sent, shares = self.levels.setdefault(table, {}), self._shares()
         for position, kind in enumerate(self.settings.get("classes") or []):
             # In a storm each further try adds to it; while a few servers fail it finds a healthy one.
-            retries = 0 if self.strained else 2 if self.calm and kind.get("effect") == "free" else 1
+            retries = 0 if self.strained else 2 if self.failing and kind.get("effect") == "free" else 1
             usual = (1.0, self.settings.get("usual_retry", 0))
             share, had = shares[position], sent.get(position, usual)
             if abs(share - had[0]) < SHED_MOVE and share < 1:
