Recompute every second over a mean of about 12 s

Cause: a short mean follows chance, a long step swings. Also tried: 8 s and 20 s means at 2 s, 5 s means.

--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -11,11 +11,11 @@
 SECOND = 1_000_000_000  # ns
 ALPHA = 0.5             # per percent: steepness of f(u), the paper's
 BETA = 80.0             # percent: where f(u) is half way up and a server counts as running over, the paper's
-PERIOD = 2 * SECOND     # ns between recomputes: two reports each, so a weight follows before a queue is full
+PERIOD = 1 * SECOND     # ns between recomputes: the period of the reports, so each weight move is small
 RAMP_STEP = 5 * SECOND  # ns for each doubling of a new server's part: slower than the slowest listed warm-up
 RAMP_START = 0.25       # part of its weight that a new, returned or restarted server starts at: the design page's
 LOWEST_SPAN = 60 * SECOND  # ns that the lowest mean is looked for in: the design page's minute
-KEEP = 0.75             # part of what was heard that a recompute carries on: a mean over some eight seconds
+KEEP = 0.92             # part of what was heard that a recompute carries on: a mean over some twelve seconds
 HEARD_LEAST = 3.0       # answers below which a server's mean is chance, so it counts as unheard
 RESEND = 0.1            # part a weight must move by to be sent: the design page's tenth
 CUT_REPORTS = 2         # reports running over before a cut: the design page's
