--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -312,6 +312,7 @@
             # In a storm of tries a quarter weight is many times a quarter of the work: a cold server gets its
             # part of what is answered. Harm: one that starts into a storm warms with little traffic.
             part *= self.through
+            average = min(average or 0, link.cost or 0)  # an idle cold server answers fast: it earns no more for it
         cost = average / link.cost if average and link.cost else 1.0
         return round(rec.listed * cost * part, 4)
 
