--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -293,7 +293,7 @@
     # ---- orders
 
     def _cold(self, now, rec):
-        return rec.ramp_from is not None and now - rec.started < self.settings.get("cold_time", 0)
+        return rec.ramp_from is not None and now - rec.started < self.settings.get("cold_time", 3 * RAMP_STEP)
 
     def _table(self, zone):
         return self.tables.setdefault(zone, len(self.tables))
