--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -153,7 +153,7 @@
         link.lows.append((now, rtt))
         while link.lows[0][0] < now - LOWEST_SPAN:
             link.lows.popleft()
-        if self.strained:
+        if self.strained or self.room < 1:
             rtt = min(mean for _, mean in link.lows)
         u = self._utilization(rec, link, rtt)
         return (errors * 2 * rtt + (1 - errors) * rtt) * (1 + 1 / (1 + math.exp(ALPHA * (BETA - u))))
