Probe at the first report of failures alone; tell a parted zone by silent probes

A zone whose last proxies leave is probed at once; servers whose last report was failures alone do not count for strain; strain goes by the server of the middle answer.

--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -38,6 +38,8 @@
 SHED_LEAST = 0.15       # share of the work that is always let in: what is heard must not run dry
 SHED_FLOOR = 0.1        # share of each class that is let in however low its benefit: the worst class counts too
 SHED_MOVE = 0.03        # move of a level that is worth a message
+PROBE_GAP = SECOND      # ns between probes of one server: each costs it a hundredth of a second of work at most
+PROBE_ZONE = 3          # servers probed when a zone falls silent: two silent ones are no chance
 SERIALS = 65536         # marks are whole numbers under this
 
 
@@ -54,13 +56,14 @@
 class Backend:
     """The one record of a backend."""
     __slots__ = ("id", "zone", "phase", "listed", "started", "ramp_from", "busy", "service", "links", "sent",
-                 "tried", "missed", "done", "spent")
+                 "tried", "missed", "done", "spent", "probed_at", "silent")
 
     def __init__(self, backend):
         self.id, self.zone, self.phase, self.listed, self.started = backend, None, "gone", 1.0, 0
         self.ramp_from = self.busy = self.service = None
         self.links, self.sent = {}, {}
         self.tried = self.missed = self.done = self.spent = 0.0
+        self.probed_at, self.silent = None, False
 
     def link(self, zone):
         return self.links.get(zone) or self.links.setdefault(zone, Link())
@@ -166,19 +169,18 @@
 
     def _strain(self):
         """Tells trouble of the whole fleet from trouble of a few servers, by the server of the middle try."""
+        # A server that answers nothing fails by itself or is cut off; an overloaded one still answers some.
         heard = [rec for rec in self.backends.values() if rec.tried >= 1]
+        heard = [rec for rec in heard if not any(link.streak for link in rec.links.values())] or heard
         if heard:
-            half, errors = sum(rec.tried for rec in heard) / 2, 0.0
-            for rec in sorted(heard, key=lambda rec: rec.missed / rec.tried):
-                errors, half = rec.missed / rec.tried, half - rec.tried
-                if half <= 0:
-                    break
+            errors = self._middle([(rec.missed / rec.tried, rec.tried) for rec in heard])
+            mean = self._middle([(rec.spent / rec.done, rec.done) for rec in heard if rec.done])
             done = sum(rec.done for rec in heard)
-            mean = sum(rec.spent for rec in heard) / done if done else 0
             promised = min((c["promised_time"] for c in self.settings.get("classes") or []), default=SECOND)
             self.strained = errors > STRAINED_ERRORS or mean > STRAINED_TIME * promised
             calm = errors < CALM_ERRORS and mean < CALM_TIME * promised
-            self.failing = calm and any(rec.tried >= HEARD_LEAST and rec.missed > FAILING * rec.tried for rec in heard)
+            self.failing = calm and any(rec.tried >= HEARD_LEAST and rec.missed > FAILING * rec.tried
+                                        for rec in self.backends.values())
             tries = sum(rec.tried for rec in heard)
             self.through = 1 - sum(rec.missed for rec in heard) / tries
             self._shed(done)
@@ -188,6 +190,14 @@
         for name in self.asked:
             self.asked[name] *= RECENT
 
+    def _middle(self, pairs):
+        half, value = sum(weight for _, weight in pairs) / 2, 0.0
+        for value, weight in sorted(pairs):
+            half -= weight
+            if half <= 0:
+                break
+        return value
+
     def _shed(self, done):
         """How much work is let in: what the servers answered while the whole fleet strains, more as it eases."""
         asked = sum(self.asked.values())
@@ -214,6 +224,8 @@
         self._strain()
         for rec in self.backends.values():
             for zone, link in rec.links.items():
+                if link.cut_at is not None:
+                    self._probe(now, rec)
                 if link.cut_at is not None and not link.spare and now - link.cut_at >= UNHEARD_PERIODS * PERIOD:
                     rec.links[zone] = Link()
                     rec.links[zone].ramp_from = now
@@ -243,18 +255,44 @@
             link.cut_at, link.ramp_from = None, now
             self._flush(now, False)
         elif link.over >= CUT_REPORTS and link.cut_at is None and (link.streak >= CUT_TRIES or answered):
-            # Past the cap a server stays as a last resort: a zone cut off fails more than a third at once, and a
-            # few tries tell when it heals. Should all fail alike, all weights fall alike and the table is whole.
-            link.spare, link.cut_at = not self._may_cut(zone), now
+            self._cut(now, zone, link)
             self._flush(now, False)
+        elif failed >= tries:
+            self._probe(now, rec)
 
-    def _may_cut(self, zone):
+    def _cut(self, now, zone, link):
+        # Past the cap a server stays as a last resort: a zone cut off fails more than a third at once, and a
+        # few tries tell when it heals. Should all fail alike, all weights fall alike and the table is whole.
         ready = [r for r in self.backends.values() if r.phase == "ready"]
         out = sum(1 for r in ready if zone in r.links and r.links[zone].cut_at is not None and not r.links[zone].spare)
-        return (out + 1) * CUT_SHARE <= len(ready)
+        link.spare, link.cut_at = (out + 1) * CUT_SHARE > len(ready), now
+
+    def _probe(self, now, rec):
+        if self.settings.get("probes") and (rec.probed_at is None or now - rec.probed_at >= PROBE_GAP):
+            rec.probed_at = now
+            self.host.probe(rec.id)
 
     def probed(self, now, backend, status, took, load):
-        pass
+        """A silent probe confirms one report of failures; two in one zone with no answer there tell of a cut."""
+        rec = self.backends.get(backend)
+        if rec is None:
+            return
+        rec.silent = status in ("timeout", "unreachable", "reset")
+        if not rec.silent or self.strained:
+            return
+        # Who sees as this instance does: its own zone, and others that still reach it.
+        here = {self.settings.get("zone"), *(zone for zone, _ in self.proxies.values())} - {rec.zone}
+        group = [r for r in self.backends.values() if r.phase == "ready" and r.zone == rec.zone]
+        lately = [r for r in group if r.probed_at is not None and now - r.probed_at < 2 * PROBE_GAP]
+        parted = len(lately) > 1 and all(r.silent for r in lately)
+        for zone in self.tables:
+            for each in group:
+                link = each.link(zone)
+                if link.cut_at is not None:
+                    link.cut_at = now if each.silent else link.cut_at
+                elif parted and zone in here or each.silent and link.streak:
+                    self._cut(now, zone, link)
+        self._flush(now, False)
 
     def arrivals(self, now, proxy, grade, number, unanswered, window):
         self.asked[grade] = self.asked.get(grade, 0) + number
@@ -271,9 +309,13 @@
         self._bind(now, proxy)
 
     def left(self, now, proxy):
-        self.proxies.pop(proxy, None)
+        zone, _ = self.proxies.pop(proxy, (None, False))
         for _, lines in self.out:
             lines.pop(proxy, None)
+        if zone is not None and zone != self.settings.get("zone") and all(z != zone for z, _ in self.proxies.values()):
+            # The last proxy of another zone is gone: either they died or the zone is cut off with its servers.
+            for rec in [r for r in self.backends.values() if r.phase == "ready" and r.zone == zone][:PROBE_ZONE]:
+                self._probe(now, rec)
 
     def applied(self, now, proxy, serial, took):
         if any(s == serial for s, _ in self.out):
