--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -30,6 +30,7 @@
 STRAINED_ERRORS = 0.15  # share failing at the middle server that means the whole fleet fails, not a few servers
 CALM_ERRORS = 0.05      # share failing at the middle server under which further tries find a healthy one
 FAILING = 0.4           # share failing at one server, the others calm, that makes a second try worth its work
+STRAINED_BUSY = 0.8     # part busy of the middle server, where reported, under which slow answers are no overload
 STRAINED_TIME = 0.65    # part of the shortest promised time: a mean above it means many answers come too late
 CALM_TIME = 0.5         # part of the shortest promised time: below it there is room to spare
 SHED_KEEP = 0.95        # part of the answered rate that is let in while strained: lets queues run down
@@ -177,7 +178,8 @@
             mean = self._middle([(rec.spent / rec.done, rec.done) for rec in heard if rec.done])
             done = sum(rec.done for rec in heard)
             promised = min((c["promised_time"] for c in self.settings.get("classes") or []), default=SECOND)
-            self.strained = errors > STRAINED_ERRORS or mean > STRAINED_TIME * promised
+            busy = self._middle([(rec.busy, rec.tried) for rec in heard if rec.busy is not None] or [(1.0, 1.0)])
+            self.strained = (errors > STRAINED_ERRORS or mean > STRAINED_TIME * promised) and busy > STRAINED_BUSY
             calm = errors < CALM_ERRORS and mean < CALM_TIME * promised
             self.failing = calm and any(rec.tried >= HEARD_LEAST and rec.missed > FAILING * rec.tried
                                         for rec in self.backends.values())
