--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -41,6 +41,8 @@
 SHED_MOVE = 0.03        # move of a level that is worth a message
 PROBE_GAP = SECOND      # ns between probes of one server: each costs it a hundredth of a second of work at most
 PROBE_ZONE = 3          # servers probed when a zone falls silent: two silent ones are no chance
+LEAST_WEIGHT = 0.0001   # what rounding leaves of a weight above 0: a line must not vanish by it
+NO_LIMIT = 1e6          # transactions a second at a proxy that stand for letting in all
 SERIALS = 65536         # marks are whole numbers under this
 
 
@@ -74,8 +76,12 @@
     def __init__(self, host, now, seed, settings):
         self.host, self.settings = host, settings
         self.jitter = Random(seed).uniform
-        self.backends, self.proxies = {}, {}      # id -> Backend; id -> [zone, bound]
-        self.tables, self.average = {}, {}        # zone -> table number; zone -> average cost, ns
+        self.backends, self.proxies = {}, {}      # id -> Backend; id -> (zone, tables bound to)
+        # (zone, only its own servers) -> table number; zone -> average cost, ns; slice in our charge -> its lines;
+        # slice -> (time from which it may get a new owner, mark that all its proxies must have answered)
+        self.tables, self.average, self.slices, self.moving = {}, {}, {}, {}
+        self.classes = [{"promised_time": SECOND, "benefit": 1, **kind} for kind in settings.get("classes") or []]
+        self.own = sum(1 << k for k, kind in enumerate(self.classes) if kind.get("own_zone_only"))
         self.levels = {}                          # table -> {class position: (share, retries)} as sent
         self.out, self.serial, self.reply_at = deque(), 0, None  # messages not known to have left the channel
         self.next_flush, self.flush_due, self.ordinary_due = 0, False, False
@@ -110,7 +116,7 @@
         rec = self.backends.get(backend)
         if rec is None:
             rec = self.backends[backend] = Backend(backend)
-        fresh = phase == "ready" and (rec.phase == "gone" or started > rec.started)
+        fresh = phase == "ready" and (rec.phase != "ready" or started > rec.started)
         if fresh:
             rec.links.clear()
             rec.busy = rec.service = None
@@ -137,7 +143,7 @@
             self.host.observe(True)
 
     def _round(self, now):
-        for zone in self.tables:
+        for zone in {zone: None for zone, _ in self.tables}:
             costs = []
             for rec in self.backends.values():
                 link = rec.link(zone)
@@ -177,7 +183,7 @@
             errors = self._middle([(rec.missed / rec.tried, rec.tried) for rec in heard])
             mean = self._middle([(rec.spent / rec.done, rec.done) for rec in heard if rec.done])
             done = sum(rec.done for rec in heard)
-            promised = min((c["promised_time"] for c in self.settings.get("classes") or []), default=SECOND)
+            promised = min((kind["promised_time"] for kind in self.classes), default=SECOND)
             busy = self._middle([(rec.busy, rec.tried) for rec in heard if rec.busy is not None] or [(1.0, 1.0)])
             self.strained = (errors > STRAINED_ERRORS or mean > STRAINED_TIME * promised) and busy > STRAINED_BUSY
             calm = errors < CALM_ERRORS and mean < CALM_TIME * promised
@@ -210,13 +216,13 @@
 
     def _shares(self):
         """The share of each class let in: least benefit per work goes first, and promised time stands for work."""
-        classes = self.settings.get("classes") or []
-        work = [self.asked.get(kind["name"], 0) * kind["promised_time"] for kind in classes]
+        classes = self.classes
+        work = [self.asked.get(kind.get("name"), 0) * kind["promised_time"] for kind in classes]
         room, shares = self.room * sum(work), [1.0] * len(classes)
         if self.room >= 1 or not room or self.settings.get("admission") not in ("fraction", "per_second"):
             return shares
         room -= SHED_FLOOR * sum(work)
-        for k in sorted(range(len(classes)), key=lambda k: -classes[k]["benefit"] / classes[k]["promised_time"]):
+        for k in sorted(range(len(classes)), key=lambda k: -classes[k]["benefit"] / (classes[k]["promised_time"] or 1)):
             given = max(0.0, min(room, (1 - SHED_FLOOR) * work[k]))
             room -= given
             shares[k] = round(SHED_FLOOR + given / work[k], 3) if work[k] else 1.0
@@ -287,7 +293,7 @@
         group = [r for r in self.backends.values() if r.phase == "ready" and r.zone == rec.zone]
         lately = [r for r in group if r.probed_at is not None and now - r.probed_at < 2 * PROBE_GAP]
         parted = len(lately) > 1 and all(r.silent for r in lately)
-        for zone in self.tables:
+        for zone in {zone: None for zone, _ in self.tables}:
             for each in group:
                 link = each.link(zone)
                 if link.cut_at is not None:
@@ -305,13 +311,16 @@
     # ---- proxies
 
     def joined(self, now, proxy, zone, standing, rate):
-        self.proxies[proxy] = [zone, False]
+        self.proxies[proxy] = zone, set()         # a proxy and the tables it is bound to
         self._table(zone)
+        for rec in self.backends.values():
+            rec.sent.pop("out", None)             # what was shut out before did not reach this one
         self._flush(now, False)
-        self._bind(now, proxy)
+        if not self.settings.get("slices"):
+            self._bind(now, proxy)                # rule traffic: not held back by the gap between messages
 
     def left(self, now, proxy):
-        zone, _ = self.proxies.pop(proxy, (None, False))
+        zone, _ = self.proxies.pop(proxy, (None, None))
         for _, lines in self.out:
             lines.pop(proxy, None)
         if zone is not None and zone != self.settings.get("zone") and all(z != zone for z, _ in self.proxies.values()):
@@ -331,10 +340,15 @@
         pass
 
     def slice_given(self, now, table, ours):
-        pass
+        self.slices.pop(table, None)
+        self.moving.pop(table, None)
+        if ours:
+            self.slices[table] = {}
+            self.host.wake(0, "flush")  # its lines come with the same batch
 
     def slice_line(self, now, table, backend, weight):
-        pass
+        if table in self.slices:
+            self.slices[table][backend] = weight
 
     # ---- orders
 
@@ -342,11 +356,12 @@
         return rec.ramp_from is not None and now - rec.started < self.settings.get("cold_time", 3 * RAMP_STEP)
 
     def _table(self, zone):
-        return self.tables.setdefault(zone, len(self.tables))
+        for own in (False, True)[:1 + bool(self.own)]:
+            self.tables.setdefault((zone, own), len(self.tables))
 
-    def _want(self, now, rec, zone):
+    def _want(self, now, rec, zone, own):
         link = rec.link(zone)
-        if rec.phase != "ready" or link.cut_at is not None and not link.spare:
+        if rec.phase != "ready" or own and rec.zone != zone or link.cut_at is not None and not (link.spare or own):
             return 0.0
         average, part = self.average.get(zone), 1.0
         for since in (rec.ramp_from, link.ramp_from):
@@ -360,7 +375,7 @@
             part *= self.through
             average = min(average or 0, link.cost or 0)  # an idle cold server answers fast: it earns no more for it
         cost = average / link.cost if average and link.cost else 1.0
-        return round(rec.listed * cost * part, 4)
+        return max(LEAST_WEIGHT, round(rec.listed * cost * part, 4))
 
     def _flush(self, now, ordinary):
         """Sends what differs between wanted and sent tables; ordinary changes only while the backlog is short."""
@@ -370,13 +385,15 @@
                 self.flush_due = True
                 self.host.wake(self.next_flush - now, "flush")
             return
+        if self.settings.get("slices"):
+            return self._keep_slices(now)
         ordinary = self.ordinary_due and self._waiting() < self.settings.get("backlog_limit", 1e9) / 2
         self.ordinary_due = False
         before = self.serial
-        for zone, table in self.tables.items():
-            users = [p for p, (z, bound) in self.proxies.items() if z == zone and bound]
+        for (zone, own), table in self.tables.items():
+            users = [p for p, (z, bound) in self.proxies.items() if z == zone and table in bound]
             for rec in self.backends.values():
-                want, sent = self._want(now, rec, zone), rec.sent.get(table, 0.0)
+                want, sent = self._want(now, rec, zone, own), rec.sent.get(table, 0.0)
                 if want == sent:
                     continue
                 link = rec.link(zone)
@@ -387,39 +404,91 @@
                     rec.sent[table] = want
                     for proxy in users:
                         self._count(now, proxy, 1)
-            self._levels(now, table, users)
+            self._levels(now, table, users, own)
         if self.serial != before and self.settings.get("messages_limit"):
             span = self.settings.get("messages_span", 10 * SECOND)
             self.next_flush = now + int(MESSAGE_ROOM * span / self.settings["messages_limit"])
         for proxy in self.proxies:
             self._bind(now, proxy)
 
-    def _levels(self, now, table, users):
+    def _levels(self, now, table, users, own):
         sent, shares = self.levels.setdefault(table, {}), self._shares()
-        for position, kind in enumerate(self.settings.get("classes") or []):
-            # In a storm each further try adds to it; while a few servers fail it finds a healthy one.
+        for position, kind in enumerate(self.classes):
+            if bool(self.own >> position & 1) != own:
+                continue
+            # In a storm each further try adds to it; while a few servers fail it finds a healthy one. What must not
+            # run twice is only tried again when it never ran.
             retries = 0 if self.strained else 2 if self.failing and kind.get("effect") == "free" else 1
-            usual = (1.0, self.settings.get("usual_retry", 0))
-            share, had = shares[position], sent.get(position, usual)
+            share, had = shares[position], sent.get(position, (1.0, self.settings.get("usual_retry", 0)))
             if abs(share - had[0]) < SHED_MOVE and share < 1:
                 share = had[0]
-            want = (share, retries)
-            if had != want:
-                sent[position] = want
-                self.host.level(table, 1 << position, *want)
+            if had != (share, retries):
+                sent[position] = share, retries
+                if self.settings.get("admission") == "per_second":
+                    rate = self.asked.get(kind.get("name"), 0) * (1 - RECENT) / max(1, len(self.proxies))
+                    share = share * rate if share < 1 else NO_LIMIT
+                self.host.level(table, 1 << position, share, retries)
                 for proxy in users:
                     self._count(now, proxy, 1)
 
     def _bind(self, now, proxy):
         zone, bound = self.proxies[proxy]
-        if bound:
-            return
-        table = self._table(zone)
-        lines = sum(1 for rec in self.backends.values() if rec.sent.get(table))
-        if lines:  # an empty table would leave the proxy worse off than what it holds
-            self.proxies[proxy][1] = True
-            self.host.bind(proxy, table, 0)
-            self._count(now, proxy, 1 + lines + len(self.levels.get(table, ())))
+        for own, classes in ((False, (1 << len(self.classes)) - 1 - self.own if self.own else 0), (True, self.own)):
+            table = self.tables.get((zone, own))
+            lines = sum(1 for rec in self.backends.values() if rec.sent.get(table))
+            if table not in bound and lines:  # an empty table would leave the proxy worse off than what it holds
+                bound.add(table)
+                self.host.bind(proxy, table, classes)
+                self._count(now, proxy, 1 + lines + len(self.levels.get(table, ())))
+
+    def _keep_slices(self, now):
+        """Slices: the store's lines stand; only what drains or is lost is shut out and replaced."""
+        for rec in self.backends.values():
+            out = rec.phase != "ready"
+            if out != rec.sent.get("out", False):
+                rec.sent["out"] = out
+                self.host.withdraw(rec.id, out)
+                self._tell_all(now)
+        ready = {rec.id: rec for rec in self.backends.values() if rec.phase == "ready"}
+        for table, lines in self.slices.items():
+            lost, alone = [b for b in lines if b not in ready], self.settings.get("one_owner")
+            if not ready or lines and not lost:
+                continue
+            if len(lost) == len(lines) and alone and not self._may_move(now, table):
+                continue
+            if len(lost) == len(lines):
+                held = [b for own in self.slices.values() for b in own]
+                new = min(ready, key=lambda b: (self._cold(now, ready[b]), held.count(b)))
+                self.host.weigh(table, new, 1.0)
+                lines[new] = 1.0
+                self._tell_all(now)
+            for backend in lost:
+                del lines[backend]
+                if not alone:
+                    self.host.weigh(table, backend, 0.0)
+                    self._tell_all(now)
+            if self.moving.pop(table, None):
+                self.host.level(table, 0, 1.0, self.settings.get("usual_retry", 0))
+                self._tell_all(now)
+
+    def _may_move(self, now, table):
+        """Two owners must not write at once: nothing is let in until every write and lease of the last one is over."""
+        if table not in self.moving:
+            self.host.level(table, 0, 0.0, 0)
+            self._tell_all(now)
+            wait = sum(self.settings.get(k, SECOND) for k in ("lease", "write_life", "message_delay_worst"))
+            self.moving[table] = now + wait, self.serial
+            self.host.wake(wait, "flush")
+            return False
+        since, serial = self.moving[table]
+        told = all(number != serial or not lines for number, lines in self.out)
+        if now >= since and not told:
+            self.host.wake(SECOND, "flush")
+        return now >= since and told
+
+    def _tell_all(self, now):
+        for proxy in self.proxies:
+            self._count(now, proxy, 1)
 
     def _count(self, now, proxy, lines):
         """Books lines to the message that this reply sends a proxy; the first of a reply asks for an answer."""
