--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -40,7 +40,6 @@
 SHED_FLOOR = 0.1        # share of each class that is let in however low its benefit: the worst class counts too
 SHED_MOVE = 0.03        # move of a level that is worth a message
 PROBE_GAP = SECOND      # ns between probes of one server: each costs it a hundredth of a second of work at most
-PROBE_ZONE = 3          # servers probed when a zone falls silent: two silent ones are no chance
 LEAST_WEIGHT = 0.0001   # what rounding leaves of a weight above 0: a line must not vanish by it
 NO_LIMIT = 1e6          # transactions a second at a proxy that stand for letting in all
 SERIALS = 65536         # marks are whole numbers under this
@@ -58,15 +57,15 @@
 
 class Backend:
     """The one record of a backend."""
-    __slots__ = ("id", "zone", "phase", "listed", "started", "ramp_from", "busy", "service", "links", "sent",
-                 "tried", "missed", "done", "spent", "probed_at", "silent")
+    __slots__ = ("id", "zone", "phase", "listed", "started", "ramp_from", "busy", "links", "sent",
+                 "tried", "missed", "done", "spent", "probed_at")
 
     def __init__(self, backend):
         self.id, self.zone, self.phase, self.listed, self.started = backend, None, "gone", 1.0, 0
-        self.ramp_from = self.busy = self.service = None
+        self.ramp_from = self.busy = None
         self.links, self.sent = {}, {}
         self.tried = self.missed = self.done = self.spent = 0.0
-        self.probed_at, self.silent = None, False
+        self.probed_at = None
 
     def link(self, zone):
         return self.links.get(zone) or self.links.setdefault(zone, Link())
@@ -119,7 +118,7 @@
         fresh = phase == "ready" and (rec.phase != "ready" or started > rec.started)
         if fresh:
             rec.links.clear()
-            rec.busy = rec.service = None
+            rec.busy = None
             # At an instance's start nothing is heard of anyone: only those still cold are new, or a cold one would
             # get as much as the rest.
             cold = started and now - started < self.settings.get("cold_time", 0)
@@ -165,12 +164,10 @@
             link.lows.popleft()
         if self.strained or self.room < 1:
             rtt = min(mean for _, mean in link.lows)
-        u = self._utilization(rec, link, rtt)
+        u = self._utilization(link, rtt)
         return (errors * 2 * rtt + (1 - errors) * rtt) * (1 + 1 / (1 + math.exp(ALPHA * (BETA - u))))
 
-    def _utilization(self, rec, link, rtt):
-        if rec.service is not None:
-            return 100 * max(0.0, 1 - rec.service / rtt)
+    def _utilization(self, link, rtt):
         lowest = min((mean for _, mean in link.lows), default=rtt)
         return 100 * max(0.0, rtt - lowest) / rtt
 
@@ -247,13 +244,13 @@
             return
         self._table(zone)
         link = rec.link(zone)
-        rec.busy, rec.service = load.get("busy", rec.busy), load.get("service", rec.service)
+        rec.busy = load.get("busy", rec.busy)
         answered = max(0, tries - failed) if mean > 0 else 0
         link.tries, link.failed = link.tries + tries, link.failed + min(failed, tries)
         link.answered, link.time = link.answered + answered, link.time + answered * mean
         rec.tried, rec.missed = rec.tried + tries, rec.missed + min(failed, tries)
         rec.done, rec.spent = rec.done + answered, rec.spent + answered * mean
-        u = self._utilization(rec, link, link.time / link.answered) if answered else 0
+        u = self._utilization(link, link.time / link.answered) if answered else 0
         # A report of failures alone is an alarm like u over 80%, once enough tries stand behind it; u is none while
         # the whole fleet strains, for then cutting only moves the load.
         link.streak = 0 if failed < tries else link.streak + tries
@@ -281,25 +278,15 @@
             self.host.probe(rec.id)
 
     def probed(self, now, backend, status, took, load):
-        """A silent probe confirms one report of failures; two in one zone with no answer there tell of a cut."""
+        """A silent probe confirms a report of failures and keeps a cut server out."""
         rec = self.backends.get(backend)
-        if rec is None:
-            return
-        rec.silent = status in ("timeout", "unreachable", "reset")
-        if not rec.silent or self.strained:
+        if rec is None or status not in ("timeout", "unreachable", "reset") or self.strained:
             return
-        # Who sees as this instance does: its own zone, and others that still reach it.
-        here = {self.settings.get("zone"), *(zone for zone, _ in self.proxies.values())} - {rec.zone}
-        group = [r for r in self.backends.values() if r.phase == "ready" and r.zone == rec.zone]
-        lately = [r for r in group if r.probed_at is not None and now - r.probed_at < 2 * PROBE_GAP]
-        parted = len(lately) > 1 and all(r.silent for r in lately)
-        for zone in {zone: None for zone, _ in self.tables}:
-            for each in group:
-                link = each.link(zone)
-                if link.cut_at is not None:
-                    link.cut_at = now if each.silent else link.cut_at
-                elif parted and zone in here or each.silent and link.streak:
-                    self._cut(now, zone, link)
+        for zone, link in rec.links.items():
+            if link.cut_at is not None:
+                link.cut_at = now
+            elif link.streak:
+                self._cut(now, zone, link)
         self._flush(now, False)
 
     def arrivals(self, now, proxy, grade, number, unanswered, window):
@@ -320,13 +307,9 @@
             self._bind(now, proxy)                # rule traffic: not held back by the gap between messages
 
     def left(self, now, proxy):
-        zone, _ = self.proxies.pop(proxy, (None, None))
+        self.proxies.pop(proxy, None)
         for _, lines in self.out:
             lines.pop(proxy, None)
-        if zone is not None and zone != self.settings.get("zone") and all(z != zone for z, _ in self.proxies.values()):
-            # The last proxy of another zone is gone: either they died or the zone is cut off with its servers.
-            for rec in [r for r in self.backends.values() if r.phase == "ready" and r.zone == zone][:PROBE_ZONE]:
-                self._probe(now, rec)
 
     def applied(self, now, proxy, serial, took):
         if any(s == serial for s, _ in self.out):
