No alarm for u while anything is shed

Cause: after an overload the jammed servers show u over 80% one after the other and were cut while the rest was still full. Harm: a slow server is not cut during an overload; its cost still moves load off it.

--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -254,7 +254,7 @@
         # A report of failures alone is an alarm like u over 80%, once enough tries stand behind it; u is none while
         # the whole fleet strains, for then cutting only moves the load.
         link.streak = 0 if failed < tries else link.streak + tries
-        over = failed >= tries or u > BETA and not self.strained
+        over = failed >= tries or u > BETA and not self.strained and self.room >= 1
         link.over = link.over + 1 if over else 0
         if link.cut_at is not None and not over:
             link.cut_at, link.ramp_from = None, now
