Keep half the channel for rule traffic; hold cold servers out of a storm

Levels and cuts now wait beyond half the limit, a cold server waits while under half of the tries are answered and a warm one is ready. Harm: a shed level or a cut comes late on a slow channel; a fresh server brings nothing until a storm is over.

--- a/granitespool/host.py
+++ b/granitespool/host.py
@@ -8,7 +8,7 @@
                  repeat_window, promised_time, time_limit, benefit, late_share, own_zone_only, writes
   zones, zone, index, planners, subscribe, probes, peers, admission (fraction, per_second, none)
   lines_per_s, message_head, backlog_limit, messages_limit, messages_span, message_delay, message_delay_worst
-  report_every, reports_per_s, try_factor, usual_retry, connect_timeout, empty_limit, proxies_expected
+  report_every, reports_per_s, try_factor, avoid_after (failures running), usual_retry, connect_timeout, empty_limit, proxies_expected
   drain_grace, ask_within, cold_time, cold_share, fall_multiple, fall_time, drain_needs_entry
   slices, one_owner, lease, write_life, hold_time
 """
--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -40,6 +40,7 @@
 SHED_FLOOR = 0.1        # share of each class that is let in however low its benefit: the worst class counts too
 SHED_MOVE = 0.03        # move of a level that is worth a message
 PROBE_GAP = SECOND      # ns between probes of one server: each costs it a hundredth of a second of work at most
+STORM = 0.5             # share of tries answered under which a cold server waits until it is warm
 LEAST_WEIGHT = 0.0001   # what rounding leaves of a weight above 0: a line must not vanish by it
 NO_LIMIT = 1e6          # transactions a second at a proxy that stand for letting in all
 SERIALS = 65536         # marks are whole numbers under this
@@ -356,6 +357,9 @@
             # In a storm of tries a quarter weight is many times a quarter of the work: a cold server gets its
             # part of what is answered. Harm: one that starts into a storm warms with little traffic.
             part *= self.through
+            if self.through < STORM and self.settings.get("avoid_after") and any(
+                    r.phase == "ready" and not self._cold(now, r) for r in self.backends.values()):
+                return 0.0  # proxies that shun whoever fails them would all crowd to the one they have not met yet
             average = min(average or 0, link.cost or 0)  # an idle cold server answers fast: it earns no more for it
         cost = average / link.cost if average and link.cost else 1.0
         return max(LEAST_WEIGHT, round(rec.listed * cost * part, 4))
@@ -370,24 +374,29 @@
             return
         if self.settings.get("slices"):
             return self._keep_slices(now)
-        ordinary = self.ordinary_due and self._waiting() < self.settings.get("backlog_limit", 1e9) / 2
+        # Only what a rule needs may use the second half: a channel that sends slower than told shows by its marks alone.
+        clear = self._waiting() < self.settings.get("backlog_limit", 1e9) / 2
+        ordinary = self.ordinary_due and clear
         self.ordinary_due = False
         before = self.serial
         for (zone, own), table in self.tables.items():
             users = [p for p, (z, bound) in self.proxies.items() if z == zone and table in bound]
+            empty = not any(rec.sent.get(table) for rec in self.backends.values())
             for rec in self.backends.values():
                 want, sent = self._want(now, rec, zone, own), rec.sent.get(table, 0.0)
                 if want == sent:
                     continue
                 link = rec.link(zone)
-                rule = want == 0 or sent == 0 or want < sent * (1 - RESEND) and (
-                    self._cold(now, rec) or link.cut_at is not None)
-                if rule or ordinary and abs(want - sent) > RESEND * sent:
+                cold = self._cold(now, rec)
+                rule = rec.phase != "ready" or empty or cold and want < sent * (1 - RESEND)
+                alarm = want == 0 or sent == 0 or want < sent * (1 - RESEND) and link.cut_at is not None
+                if rule or clear and alarm or ordinary and abs(want - sent) > RESEND * sent:
                     self.host.weigh(table, rec.id, want)
                     rec.sent[table] = want
                     for proxy in users:
                         self._count(now, proxy, 1)
-            self._levels(now, table, users, own)
+            if clear:
+                self._levels(now, table, users, own)
         if self.serial != before and self.settings.get("messages_limit"):
             span = self.settings.get("messages_span", 10 * SECOND)
             self.next_flush = now + int(MESSAGE_ROOM * span / self.settings["messages_limit"])
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -33,6 +33,8 @@
         self.timers.append((self.now + delay, len(self.timers), cookie))
 
     def begin(self):
+        if self.settings.pop("own_last", None):  # the last class may go only to its own zone
+            self.settings["classes"][-1]["own_zone_only"] = True
         self.planner = self.planner or Planner(self, self.now, 1, self.settings)
         return self.planner
 
