--- a/granitespool/host.py
+++ b/granitespool/host.py
@@ -1,14 +1,16 @@
 """What the planner may ask of the process it runs in, and the names of the settings it is handed.
 
-The planner calls these methods while it handles an event; each takes effect at that event's time. Times are whole
-nanoseconds, ids are what the events brought, `classes` is the sum of 2**k over positions in `classes` (0: all).
+The planner calls these methods while it handles an event; each takes effect at that event's time. Times are
+whole nanoseconds, ids are what the events brought, `classes` is the sum of 2**k over positions in the
+settings' `classes` (0: all).
 
 Settings (a plain map; any may be absent), times in nanoseconds:
   classes        list of maps: name, effect (free, guarded, single_shot), repeat_scope (all, zone, cell),
                  repeat_window, promised_time, time_limit, benefit, late_share, own_zone_only, writes
   zones, zone, index, planners, subscribe, probes, peers, admission (fraction, per_second, none)
   lines_per_s, message_head, backlog_limit, messages_limit, messages_span, message_delay, message_delay_worst
-  report_every, reports_per_s, try_factor, avoid_after (failures running), usual_retry, connect_timeout, empty_limit, proxies_expected
+  report_every, reports_per_s, try_factor, avoid_after (failures running after which a proxy shuns a server),
+  usual_retry, connect_timeout, empty_limit, proxies_expected
   drain_grace, ask_within, cold_time, cold_share, fall_multiple, fall_time, drain_needs_entry
   slices, one_owner, lease, write_life, hold_time
 """
--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -1,8 +1,8 @@
 """All decisions of granitespool: one Planner for each coordinator instance.
 
-The adapter makes Planner(host, now, seed, settings) when an instance starts, then calls one method for each thing that
-happens, with the batch clock `now` in whole nanoseconds. The planner answers by calling the host at once.
-The host's calls and the names of the settings stand in granitespool/host.py; the mechanism in docs/design.md.
+The adapter makes Planner(host, now, seed, settings) when an instance starts, then calls one method for each
+thing that happens, with the batch clock `now` in whole nanoseconds; the planner acts by calling the host at
+once. The host's calls and the settings' names stand in granitespool/host.py, the mechanism in docs/design.md.
 """
 import math
 from collections import deque
@@ -13,33 +13,33 @@
 BETA = 80.0             # percent: where f(u) is half way up and a server counts as running over, the paper's
 PERIOD = 1 * SECOND     # ns between recomputes: the period of the reports, so each weight move is small
 RAMP_STEP = 5 * SECOND  # ns for each doubling of a new server's part: slower than the slowest listed warm-up
-RAMP_START = 0.25       # part of its weight that a new, returned or restarted server starts at: the design page's
+RAMP_START = 0.25       # part of its weight that a new or returned server starts at: the design page's
 LOWEST_SPAN = 60 * SECOND  # ns that the lowest mean is looked for in: the design page's minute
 KEEP = 0.92             # part of what was heard that a recompute carries on: a mean over some twelve seconds
 HEARD_LEAST = 3.0       # answers below which a server's mean is chance, so it counts as unheard
 RESEND = 0.1            # part a weight must move by to be sent: the design page's tenth
 CUT_REPORTS = 2         # reports running over before a cut: the design page's
 CUT_TRIES = 5           # tries running that a cut for failures rests on: one or two failing are chance
-CUT_SHARE = 3           # at most one in this many of the listed ready servers is cut from a table: the design page's
-LAST_RESORT = 0.02      # part of its weight that a server over the cap on cuts keeps: a few tries to hear it by
+CUT_SHARE = 3           # at most one in this many listed ready servers is cut from a table: the design page's
+LAST_RESORT = 0.02      # part of its weight that a server past the cap on cuts keeps: some tries to hear it
 UNHEARD_PERIODS = 2     # periods that a cut server stays unheard before it comes back: the design page's
 PACE = SECOND           # ns between looks at load and at cut servers: the period of the reports
 CALL_AGAIN = SECOND     # ns before a failed list call is made again: under a tenth of the time allowed for it
 MESSAGE_ROOM = 1.25     # times the shortest gap that keeps the messages to a proxy under their cap
 RECENT = 0.5            # part of the fleet's sums that each look carries on: about two report periods' worth
-STRAINED_ERRORS = 0.15  # share failing at the middle server that means the whole fleet fails, not a few servers
+STRAINED_ERRORS = 0.15  # share failing at the middle server that means the whole fleet fails, not a few
 CALM_ERRORS = 0.05      # share failing at the middle server under which further tries find a healthy one
 FAILING = 0.4           # share failing at one server, the others calm, that makes a second try worth its work
-STRAINED_BUSY = 0.8     # part busy of the middle server, where reported, under which slow answers are no overload
+STRAINED_BUSY = 0.8     # part busy of the middle server, where told, under which slow answers are no overload
 STRAINED_TIME = 0.65    # part of the shortest promised time: a mean above it means many answers come too late
 CALM_TIME = 0.5         # part of the shortest promised time: below it there is room to spare
 SHED_KEEP = 0.95        # part of the answered rate that is let in while strained: lets queues run down
 SHED_STEP = 0.95        # factor a look while the strain lasts: the reports are two to three looks late
-SHED_BACK = 1.08        # factor a look without strain: as refused clients stop asking again, room grows by itself
+SHED_BACK = 1.08        # factor a look without strain: the less is refused, the less is asked again
 SHED_LEAST = 0.15       # share of the work that is always let in: what is heard must not run dry
-SHED_FLOOR = 0.1        # share of each class that is let in however low its benefit: the worst class counts too
+SHED_FLOOR = 0.1        # share of each class let in however low its benefit: the worst class counts too
 SHED_MOVE = 0.03        # move of a level that is worth a message
-PROBE_GAP = SECOND      # ns between probes of one server: each costs it a hundredth of a second of work at most
+PROBE_GAP = SECOND      # ns between probes of one server: each costs it some milliseconds of work
 STORM = 0.5             # share of tries answered under which a cold server waits until it is warm
 LEAST_WEIGHT = 0.0001   # what rounding leaves of a weight above 0: a line must not vanish by it
 NO_LIMIT = 1e6          # transactions a second at a proxy that stand for letting in all
@@ -48,12 +48,15 @@
 
 class Link:
     """What the proxies of one zone met at a backend, and what that makes of it."""
-    __slots__ = ("tries", "failed", "answered", "time", "lows", "over", "streak", "cut_at", "spare", "ramp_from", "cost")
+    __slots__ = ("tries", "failed", "answered", "time", "lows", "over", "streak", "cut_at", "spare",
+                 "ramp_from", "cost")
 
     def __init__(self):
         self.tries = self.failed = self.answered = self.time = 0.0
         self.lows = deque()
-        self.over, self.streak, self.cut_at, self.spare, self.ramp_from, self.cost = 0, 0, None, False, None, None
+        self.over = self.streak = 0               # reports running over; tries running that failed
+        self.cut_at, self.spare = None, False     # cut when; only down to a last resort
+        self.ramp_from = self.cost = None
 
 
 class Backend:
@@ -77,17 +80,16 @@
         self.host, self.settings = host, settings
         self.jitter = Random(seed).uniform
         self.backends, self.proxies = {}, {}      # id -> Backend; id -> (zone, tables bound to)
-        # (zone, only its own servers) -> table number; zone -> average cost, ns; slice in our charge -> its lines;
-        # slice -> (time from which it may get a new owner, mark that all its proxies must have answered)
-        self.tables, self.average, self.slices, self.moving = {}, {}, {}, {}
-        self.classes = [{"promised_time": SECOND, "benefit": 1, **kind} for kind in settings.get("classes") or []]
+        self.tables, self.average = {}, {}        # (zone, only its servers) -> table; zone -> cost, ns
+        self.slices, self.moving = {}, {}         # slice in charge -> its lines; -> (free from, mark)
+        self.classes = [{"promised_time": SECOND, "benefit": 1, **c} for c in settings.get("classes") or []]
         self.own = sum(1 << k for k, kind in enumerate(self.classes) if kind.get("own_zone_only"))
         self.levels = {}                          # table -> {class position: (share, retries)} as sent
         self.out, self.serial, self.reply_at = deque(), 0, None  # messages not known to have left the channel
         self.next_flush, self.flush_due, self.ordinary_due = 0, False, False
         self.listed_once, self.failing, self.strained = False, False, False
         self.through = 1.0                        # share of all tries that is answered lately
-        self.room, self.asked = 1.0, {}           # share of the work let in; class name -> transactions lately
+        self.room, self.asked = 1.0, {}           # share of work let in; class name -> transactions lately
         for zone in settings.get("zones") or []:
             self._table(zone)
         if settings.get("subscribe"):
@@ -120,8 +122,8 @@
         if fresh:
             rec.links.clear()
             rec.busy = None
-            # At an instance's start nothing is heard of anyone: only those still cold are new, or a cold one would
-            # get as much as the rest.
+            # At an instance's start nothing is heard of anyone: only those still cold are new, or a cold one
+            # would get as much as the rest.
             cold = started and now - started < self.settings.get("cold_time", 0)
             rec.ramp_from = now if self.listed_once else started if cold else None
         rec.zone, rec.phase, rec.started = zone, phase, max(started, rec.started)
@@ -182,8 +184,9 @@
             mean = self._middle([(rec.spent / rec.done, rec.done) for rec in heard if rec.done])
             done = sum(rec.done for rec in heard)
             promised = min((kind["promised_time"] for kind in self.classes), default=SECOND)
-            busy = self._middle([(rec.busy, rec.tried) for rec in heard if rec.busy is not None] or [(1.0, 1.0)])
-            self.strained = (errors > STRAINED_ERRORS or mean > STRAINED_TIME * promised) and busy > STRAINED_BUSY
+            busy = self._middle([(rec.busy, rec.tried) for rec in heard if rec.busy is not None] or [(1, 1)])
+            slow = errors > STRAINED_ERRORS or mean > STRAINED_TIME * promised
+            self.strained = slow and busy > STRAINED_BUSY
             calm = errors < CALM_ERRORS and mean < CALM_TIME * promised
             self.failing = calm and any(rec.tried >= HEARD_LEAST and rec.missed > FAILING * rec.tried
                                         for rec in self.backends.values())
@@ -205,7 +208,7 @@
         return value
 
     def _shed(self, done):
-        """How much work is let in: what the servers answered while the whole fleet strains, more as it eases."""
+        """How much work is let in: what is answered while the whole fleet strains, more as it eases."""
         asked = sum(self.asked.values())
         if self.strained and asked > 0:
             self.room = max(SHED_LEAST, min(self.room * SHED_STEP, SHED_KEEP * done / asked))
@@ -213,14 +216,15 @@
             self.room = min(1.0, self.room * SHED_BACK)
 
     def _shares(self):
-        """The share of each class let in: least benefit per work goes first, and promised time stands for work."""
+        """The share of each class let in: least benefit per work goes first, promised time stands for work."""
         classes = self.classes
         work = [self.asked.get(kind.get("name"), 0) * kind["promised_time"] for kind in classes]
         room, shares = self.room * sum(work), [1.0] * len(classes)
         if self.room >= 1 or not room or self.settings.get("admission") not in ("fraction", "per_second"):
             return shares
         room -= SHED_FLOOR * sum(work)
-        for k in sorted(range(len(classes)), key=lambda k: -classes[k]["benefit"] / (classes[k]["promised_time"] or 1)):
+        value = [kind["benefit"] / (kind["promised_time"] or 1) for kind in classes]
+        for k in sorted(range(len(classes)), key=lambda k: -value[k]):
             given = max(0.0, min(room, (1 - SHED_FLOOR) * work[k]))
             room -= given
             shares[k] = round(SHED_FLOOR + given / work[k], 3) if work[k] else 1.0
@@ -230,9 +234,10 @@
         self._strain()
         for rec in self.backends.values():
             for zone, link in rec.links.items():
-                if link.cut_at is not None:
-                    self._probe(now, rec)
-                if link.cut_at is not None and not link.spare and now - link.cut_at >= UNHEARD_PERIODS * PERIOD:
+                if link.cut_at is None:
+                    continue
+                self._probe(now, rec)
+                if not link.spare and now - link.cut_at >= UNHEARD_PERIODS * PERIOD:
                     rec.links[zone] = Link()
                     rec.links[zone].ramp_from = now
         self._flush(now, False)
@@ -252,8 +257,8 @@
         rec.tried, rec.missed = rec.tried + tries, rec.missed + min(failed, tries)
         rec.done, rec.spent = rec.done + answered, rec.spent + answered * mean
         u = self._utilization(link, link.time / link.answered) if answered else 0
-        # A report of failures alone is an alarm like u over 80%, once enough tries stand behind it; u is none while
-        # the whole fleet strains, for then cutting only moves the load.
+        # A report of failures alone is an alarm like u over 80%, once enough tries stand behind it: for quick
+        # errors, hangs, silence, a cut link. u is none while the fleet strains: a cut would only move the load.
         link.streak = 0 if failed < tries else link.streak + tries
         over = failed >= tries or u > BETA and not self.strained and self.room >= 1
         link.over = link.over + 1 if over else 0
@@ -269,8 +274,8 @@
     def _cut(self, now, zone, link):
         # Past the cap a server stays as a last resort: a zone cut off fails more than a third at once, and a
         # few tries tell when it heals. Should all fail alike, all weights fall alike and the table is whole.
-        ready = [r for r in self.backends.values() if r.phase == "ready"]
-        out = sum(1 for r in ready if zone in r.links and r.links[zone].cut_at is not None and not r.links[zone].spare)
+        ready = [rec.link(zone) for rec in self.backends.values() if rec.phase == "ready"]
+        out = sum(1 for each in ready if each.cut_at is not None and not each.spare)
         link.spare, link.cut_at = (out + 1) * CUT_SHARE > len(ready), now
 
     def _probe(self, now, rec):
@@ -314,7 +319,7 @@
 
     def applied(self, now, proxy, serial, took):
         if any(s == serial for s, _ in self.out):
-            while self.out[0][0] != serial:  # the channel is one queue: what was ordered before has left it too
+            while self.out[0][0] != serial:       # the channel is one queue: what came before has left it too
                 self.out.popleft()
             self.out[0][1].pop(proxy, None)
 
@@ -345,7 +350,9 @@
 
     def _want(self, now, rec, zone, own):
         link = rec.link(zone)
-        if rec.phase != "ready" or own and rec.zone != zone or link.cut_at is not None and not (link.spare or own):
+        if rec.phase != "ready" or own and rec.zone != zone:
+            return 0.0
+        if link.cut_at is not None and not (link.spare or own):
             return 0.0
         average, part = self.average.get(zone), 1.0
         for since in (rec.ramp_from, link.ramp_from):
@@ -359,13 +366,13 @@
             part *= self.through
             if self.through < STORM and self.settings.get("avoid_after") and any(
                     r.phase == "ready" and not self._cold(now, r) for r in self.backends.values()):
-                return 0.0  # proxies that shun whoever fails them would all crowd to the one they have not met yet
-            average = min(average or 0, link.cost or 0)  # an idle cold server answers fast: it earns no more for it
+                return 0.0  # proxies that shun whoever fails them would crowd to the one they have not met
+            average = min(average or 0, link.cost or 0)  # an idle cold server answers fast: no more for that
         cost = average / link.cost if average and link.cost else 1.0
         return max(LEAST_WEIGHT, round(rec.listed * cost * part, 4))
 
     def _flush(self, now, ordinary):
-        """Sends what differs between wanted and sent tables; ordinary changes only while the backlog is short."""
+        """Sends what differs from the wanted tables; all but rule traffic only while the backlog is short."""
         self.ordinary_due |= ordinary
         if now < self.next_flush:
             if not self.flush_due:
@@ -374,7 +381,7 @@
             return
         if self.settings.get("slices"):
             return self._keep_slices(now)
-        # Only what a rule needs may use the second half: a channel that sends slower than told shows by its marks alone.
+        # Only what a rule needs may use the second half: a channel slower than told shows by its marks alone.
         clear = self._waiting() < self.settings.get("backlog_limit", 1e9) / 2
         ordinary = self.ordinary_due and clear
         self.ordinary_due = False
@@ -408,8 +415,8 @@
         for position, kind in enumerate(self.classes):
             if bool(self.own >> position & 1) != own:
                 continue
-            # In a storm each further try adds to it; while a few servers fail it finds a healthy one. What must not
-            # run twice is only tried again when it never ran.
+            # In a storm each further try adds to it; while a few servers fail it finds a healthy one. What
+            # must not run twice is only tried again when it never ran.
             retries = 0 if self.strained else 2 if self.failing and kind.get("effect") == "free" else 1
             share, had = shares[position], sent.get(position, (1.0, self.settings.get("usual_retry", 0)))
             if abs(share - had[0]) < SHED_MOVE and share < 1:
@@ -425,10 +432,11 @@
 
     def _bind(self, now, proxy):
         zone, bound = self.proxies[proxy]
-        for own, classes in ((False, (1 << len(self.classes)) - 1 - self.own if self.own else 0), (True, self.own)):
+        rest = (1 << len(self.classes)) - 1 - self.own if self.own else 0
+        for own, classes in ((False, rest), (True, self.own)):
             table = self.tables.get((zone, own))
             lines = sum(1 for rec in self.backends.values() if rec.sent.get(table))
-            if table not in bound and lines:  # an empty table would leave the proxy worse off than what it holds
+            if table not in bound and lines:      # an empty table is worse than what the proxy holds
                 bound.add(table)
                 self.host.bind(proxy, table, classes)
                 self._count(now, proxy, 1 + lines + len(self.levels.get(table, ())))
@@ -464,7 +472,7 @@
                 self._tell_all(now)
 
     def _may_move(self, now, table):
-        """Two owners must not write at once: nothing is let in until every write and lease of the last one is over."""
+        """Two owners must not write at once: nothing is let in until the last one's writes and lease are over."""
         if table not in self.moving:
             self.host.level(table, 0, 0.0, 0)
             self._tell_all(now)
@@ -483,7 +491,7 @@
             self._count(now, proxy, 1)
 
     def _count(self, now, proxy, lines):
-        """Books lines to the message that this reply sends a proxy; the first of a reply asks for an answer."""
+        """Books lines to the message that this reply sends a proxy; the first one asks for an answer."""
         if self.reply_at != now:
             self.reply_at, self.serial = now, (self.serial + 1) % SERIALS
             self.out.append((self.serial, {}))
--- a/granitespool/wirehost.py
+++ b/granitespool/wirehost.py
@@ -1,7 +1,7 @@
 """The adapter: one JSON batch a line on standard input, one reply a line on standard output.
 
-Wire names, units and encodings end here. Each instance is a planner of its own with a host of its own; nothing is
-shared between them. No decision is taken in this file.
+Wire names, units and encodings end here. Each instance is a planner of its own with a host of its own;
+nothing is shared between them. No decision is taken in this file.
 """
 import json
 import sys
@@ -22,8 +22,10 @@
     "messages_span": ("family_info.counted_over_us", True),
     "message_delay": ("family_info.push_delay_us", True),
     "message_delay_worst": ("family_info.worst_transit_us", True),
-    "report_every": ("family_info.report_every_us", True), "reports_per_s": ("family_info.ingest_rate", False),
-    "avoid_after": ("family_info.outlier_after", False), "try_factor": ("family_info.try_factor", False), "usual_retry": ("family_info.default_retry", False),
+    "report_every": ("family_info.report_every_us", True),
+    "reports_per_s": ("family_info.ingest_rate", False),
+    "avoid_after": ("family_info.outlier_after", False), "try_factor": ("family_info.try_factor", False),
+    "usual_retry": ("family_info.default_retry", False),
     "empty_limit": ("family_info.empty_for_us", True), "proxies_expected": ("family_info.proxy_count", False),
     "slices": ("family_info.slices", False), "one_owner": ("family_info.one_owner", False),
     "lease": ("family_info.lease_us", True), "write_life": ("family_info.write_life_us", True),
@@ -34,7 +36,8 @@
 }
 CLASS = {
     "name": ("name", False), "effect": ("semantics", False), "repeat_scope": ("key_scope", False),
-    "repeat_window": ("window_us", True), "promised_time": ("aim_us", True), "time_limit": ("give_up_us", True),
+    "repeat_window": ("window_us", True), "promised_time": ("aim_us", True),
+    "time_limit": ("give_up_us", True),
     "benefit": ("worth", False), "late_share": ("late_share", False),
 }
 LOAD = {"util": ("busy", 1), "latency_ms": ("service", 1_000_000), "queue": ("queued", 1),
@@ -161,8 +164,8 @@
     "left": lambda p, now, e: p.left(now, need(e, "agent", int)),
     "heard": lambda p, now, e: p.heard(now, need(e, "zone", str), need(e, "backend", str),
                                        need(e, "number", NUM), need(e, "bad", NUM),
-                                       int(need(e, "spent_us", NUM) * NS), int(need(e, "window_us", NUM) * NS),
-                                       load_map(e)),
+                                       int(need(e, "spent_us", NUM) * NS),
+                                       int(need(e, "window_us", NUM) * NS), load_map(e)),
     "arrivals": lambda p, now, e: p.arrivals(now, need(e, "agent", int), need(e, "grade", str),
                                              need(e, "number", NUM), need(e, "bad", NUM),
                                              int(need(e, "window_us", NUM) * NS)),
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -1,4 +1,4 @@
-"""Plays one scenario: a planner on a host that writes down what is asked of it. The notation is in tests/README.md."""
+"""Plays one scenario: a planner on a host that notes what is asked of it; tests/README.md has the notation."""
 from granitespool.rules import Planner
 
 UNITS = {"ms": 1_000_000, "us": 1_000, "s": 1_000_000_000}
@@ -62,7 +62,8 @@
     def do_list(self, form, *entries):
         rows = []
         for entry in entries:  # id:zone[:weight[:phase[:started]]]
-            name, zone, weight, phase, started = (entry.split(":") + ["1", "ready", "0"][entry.count(":") - 1:])[:5]
+            usual = ["1", "ready", "0"][entry.count(":") - 1:]
+            name, zone, weight, phase, started = (entry.split(":") + usual)[:5]
             rows.append({"backend": name, "zone": zone, "cell": 0, "phase": phase, "weight": value(weight),
                          "started": value(started)})
         self.begin().list_news(self.now, form, rows)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -14,7 +14,7 @@
              for block in path.read_text().split("== ")[1:]]
 
 
-@pytest.mark.parametrize("text", [pytest.param(text, id=f"{file}: {title}") for file, title, text in SCENARIOS])
+@pytest.mark.parametrize("text", [pytest.param(text, id=f"{file}: {name}") for file, name, text in SCENARIOS])
 def test_scenario(text):
     stage = Stage()
     for line in text.splitlines():
@@ -26,6 +26,7 @@
 LIST = {"type": "backends_changed", "coordinator": 0, "form": "restored", "serial": 0, "new_key": 2,
         "rows_in": [{"backend": "a:1", "zone": "n", "phase": "live", "weight": None, "since_us": None}]}
 JOIN = {"type": "connected", "coordinator": 0, "agent": 3, "zone": "n", "flag": True, "weight": None}
+LEFT = {"type": "left", "coordinator": 0, "agent": 3}
 BROKEN = {"type": "tick_due", "coordinator": 0, "cookie": 5}
 
 
@@ -51,7 +52,7 @@
 
 def test_wire_names_and_units(monkeypatch, capsys):
     code, out, err = run(monkeypatch, capsys, batch(), batch(START, LIST, JOIN),
-                         batch({"type": "shutdown", "coordinator": 0}, {"type": "left", "coordinator": 0, "agent": 3}))
+                         batch({"type": "shutdown", "coordinator": 0}, LEFT))
     replies = [json.loads(line)["do"] for line in out.splitlines()]
     assert code == 0 and err == "" and replies[0] == replies[2] == []
     assert {"type": "bind", "coordinator": 0, "agent": 3, "tbl": 0, "for_classes": 0} in replies[1]
@@ -62,6 +63,6 @@
 def test_a_failure_is_told_for_its_instance(monkeypatch, capsys):
     monkeypatch.setattr(wirehost.Planner, "left", lambda *_: 1 / 0)
     other = {**START, "coordinator": 1}
-    code, out, err = run(monkeypatch, capsys, batch(START, other, LIST, {"type": "left", "coordinator": 0, "agent": 3}))
+    code, out, err = run(monkeypatch, capsys, batch(START, other, LIST, LEFT))
     faults = [a for a in json.loads(out)["do"] if a["type"] == "fatal"]
     assert [a["coordinator"] for a in faults] == [0] and "ZeroDivisionError" in err and code == 0
