--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -216,7 +216,7 @@
             self.room = min(1.0, self.room * SHED_BACK)
 
     def _shares(self):
-        """The share of each class let in: least benefit per work goes first, promised time stands for work."""
+        """The share let in of each class: least benefit per work goes first, promised time stands for work."""
         classes = self.classes
         work = [self.asked.get(kind.get("name"), 0) * kind["promised_time"] for kind in classes]
         room, shares = self.room * sum(work), [1.0] * len(classes)
@@ -258,7 +258,7 @@
         rec.done, rec.spent = rec.done + answered, rec.spent + answered * mean
         u = self._utilization(link, link.time / link.answered) if answered else 0
         # A report of failures alone is an alarm like u over 80%, once enough tries stand behind it: for quick
-        # errors, hangs, silence, a cut link. u is none while the fleet strains: a cut would only move the load.
+        # errors, hangs, silence, a cut link. u is none while the fleet strains: a cut would only move load.
         link.streak = 0 if failed < tries else link.streak + tries
         over = failed >= tries or u > BETA and not self.strained and self.room >= 1
         link.over = link.over + 1 if over else 0
@@ -472,7 +472,7 @@
                 self._tell_all(now)
 
     def _may_move(self, now, table):
-        """Two owners must not write at once: nothing is let in until the last one's writes and lease are over."""
+        """Two owners must not write at once: nothing is let in until the last one's writes and lease end."""
         if table not in self.moving:
             self.host.level(table, 0, 0.0, 0)
             self._tell_all(now)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -1,4 +1,4 @@
-"""Plays one scenario: a planner on a host that notes what is asked of it; tests/README.md has the notation."""
+"""Plays one scenario: a planner on a host that notes what is asked; tests/README.md has the notation."""
 from granitespool.rules import Planner
 
 UNITS = {"ms": 1_000_000, "us": 1_000, "s": 1_000_000_000}
