Let the fleet sums carry on only a tenth a look

Cause: strain and shedding followed sums that lagged two looks behind reports already two looks late. Harm: one thin second of reports can flip it.

--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -26,7 +26,7 @@
 PACE = SECOND           # ns between looks at load and at cut servers: the period of the reports
 CALL_AGAIN = SECOND     # ns before a failed list call is made again: under a tenth of the time allowed for it
 MESSAGE_ROOM = 1.25     # times the shortest gap that keeps the messages to a proxy under their cap
-RECENT = 0.5            # part of the fleet's sums that each look carries on: about two report periods' worth
+RECENT = 0.1            # part of the fleet sums that each look carries on: late as they are, no lag is added
 STRAINED_ERRORS = 0.15  # share failing at the middle server that means the whole fleet fails, not a few
 CALM_ERRORS = 0.05      # share failing at the middle server under which further tries find a healthy one
 FAILING = 0.4           # share failing at one server, the others calm, that makes a second try worth its work
@@ -216,7 +216,7 @@
             self.room = min(1.0, self.room * SHED_BACK)
 
     def _shares(self):
-        """The share let in of each class: least benefit per work goes first, promised time stands for work."""
+        """The share let in of each class: least benefit per work goes first, by promised time for work."""
         classes = self.classes
         work = [self.asked.get(kind.get("name"), 0) * kind["promised_time"] for kind in classes]
         room, shares = self.room * sum(work), [1.0] * len(classes)
