--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -12,7 +12,7 @@
 ALPHA = 0.5             # per percent: steepness of f(u), the paper's
 BETA = 80.0             # percent: where f(u) is half way up and a server counts as running over, the paper's
 PERIOD = 1 * SECOND     # ns between recomputes: the period of the reports, so each weight move is small
-RAMP_STEP = 5 * SECOND  # ns for each doubling of a new server's part: slower than the slowest listed warm-up
+RAMP_STEP = 5 * SECOND  # ns for each doubling of a new server's part: the design page's round, whatever ours is
 RAMP_START = 0.25       # part of its weight that a new or returned server starts at: the design page's
 LOWEST_SPAN = 60 * SECOND  # ns that the lowest mean is looked for in: the design page's minute
 KEEP = 0.92             # part of what was heard that a recompute carries on: a mean over some twelve seconds
@@ -145,6 +145,8 @@
             self.host.observe(True)
 
     def _round(self, now):
+        for rec in [r for r in self.backends.values() if r.phase == "gone" and not any(r.sent.values())]:
+            del self.backends[rec.id]
         for zone in {zone: None for zone, _ in self.tables}:
             costs = []
             for rec in self.backends.values():
@@ -176,9 +178,7 @@
 
     def _strain(self):
         """Tells trouble of the whole fleet from trouble of a few servers, by the server of the middle try."""
-        # A server that answers nothing fails by itself or is cut off; an overloaded one still answers some.
         heard = [rec for rec in self.backends.values() if rec.tried >= 1]
-        heard = [rec for rec in heard if not any(link.streak for link in rec.links.values())] or heard
         if heard:
             errors = self._middle([(rec.missed / rec.tried, rec.tried) for rec in heard])
             mean = self._middle([(rec.spent / rec.done, rec.done) for rec in heard if rec.done])
@@ -333,7 +333,7 @@
         self.moving.pop(table, None)
         if ours:
             self.slices[table] = {}
-            self.host.wake(0, "flush")  # its lines come with the same batch
+            self.host.wake(0, "flush")            # its lines come with the same batch
 
     def slice_line(self, now, table, backend, weight):
         if table in self.slices:
