--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -12,7 +12,7 @@
 ALPHA = 0.5             # per percent: steepness of f(u), the paper's
 BETA = 80.0             # percent: where f(u) is half way up and a server counts as running over, the paper's
 PERIOD = 1 * SECOND     # ns between recomputes: the period of the reports, so each weight move is small
-RAMP_STEP = 5 * SECOND  # ns for each doubling of a new server's part: the design page's round, whatever ours is
+RAMP_STEP = 5 * SECOND  # ns for each doubling of a new server's part: the design page's round
 RAMP_START = 0.25       # part of its weight that a new or returned server starts at: the design page's
 LOWEST_SPAN = 60 * SECOND  # ns that the lowest mean is looked for in: the design page's minute
 KEEP = 0.92             # part of what was heard that a recompute carries on: a mean over some twelve seconds
@@ -40,7 +40,8 @@
 SHED_FLOOR = 0.1        # share of each class let in however low its benefit: the worst class counts too
 SHED_MOVE = 0.03        # move of a level that is worth a message
 PROBE_GAP = SECOND      # ns between probes of one server: each costs it some milliseconds of work
-STORM = 0.5             # share of tries answered under which a cold server waits until it is warm
+STORM = 0.5             # share of tries answered under which a young cold server waits
+YOUNG = 0.5             # part of the warm-up in which it does: about half of its capacity is there then
 LEAST_WEIGHT = 0.0001   # what rounding leaves of a weight above 0: a line must not vanish by it
 NO_LIMIT = 1e6          # transactions a second at a proxy that stand for letting in all
 SERIALS = 65536         # marks are whole numbers under this
@@ -364,9 +365,12 @@
             # In a storm of tries a quarter weight is many times a quarter of the work: a cold server gets its
             # part of what is answered. Harm: one that starts into a storm warms with little traffic.
             part *= self.through
-            if self.through < STORM and self.settings.get("avoid_after") and any(
+            # Proxies that shun whoever fails them would crowd to one they have not met. Harm: in a jam every
+            # server counts, so one half through its warm-up stays.
+            young = now - rec.started < YOUNG * self.settings.get("cold_time", 3 * RAMP_STEP)
+            if young and self.through < STORM and self.settings.get("avoid_after") and any(
                     r.phase == "ready" and not self._cold(now, r) for r in self.backends.values()):
-                return 0.0  # proxies that shun whoever fails them would crowd to the one they have not met
+                return 0.0
             average = min(average or 0, link.cost or 0)  # an idle cold server answers fast: no more for that
         cost = average / link.cost if average and link.cost else 1.0
         return max(LEAST_WEIGHT, round(rec.listed * cost * part, 4))
