--- a/tests/stage.py
+++ b/tests/stage.py
@@ -21,7 +21,7 @@
     """A host that notes each call as a line of text and keeps the timers."""
 
     def __init__(self):
-        self.now, self.calls, self.timers = 0, [], []
+        self.now, self.calls, self.timers, self.order = 0, [], [], iter(range(10**9))
         self.settings, self.planner = {"zones": ["n", "s"], "classes": []}, None
 
     def __getattr__(self, name):  # any call of the host's interface
@@ -30,7 +30,7 @@
 
     def wake(self, delay, cookie):
         assert delay >= 0
-        self.timers.append((self.now + delay, len(self.timers), cookie))
+        self.timers.append((self.now + delay, next(self.order), cookie))
 
     def begin(self):
         if self.settings.pop("own_last", None):  # the last class may go only to its own zone
