Start cold servers over when a coordinator restarts

Such servers now start at a quarter of their weight again. Also holds for a planner that starts for the first time; harm: ten seconds of less load on servers nearly warm.

--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -124,9 +124,9 @@
             rec.links.clear()
             rec.busy = None
             # At an instance's start nothing is heard of anyone: only those still cold are new, or a cold one
-            # would get as much as the rest.
+            # would get as much as the rest. They start over too: levels were lost, a storm may be on.
             cold = started and now - started < self.settings.get("cold_time", 0)
-            rec.ramp_from = now if self.listed_once else started if cold else None
+            rec.ramp_from = now if self.listed_once or cold else None
         rec.zone, rec.phase, rec.started = zone, phase, max(started, rec.started)
         rec.listed = weight if weight > 0 else 1.0
 
