A planner that starts among cold servers takes a storm to be on

Until a report tells otherwise it takes 0.3 as answered. Harm: fresh servers idle for the first two seconds after a restart.

--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -41,6 +41,7 @@
 SHED_MOVE = 0.03        # move of a level that is worth a message
 PROBE_GAP = SECOND      # ns between probes of one server: each costs it some milliseconds of work
 STORM = 0.5             # share of tries answered under which a young cold server waits
+START_THROUGH = 0.3     # share of tries taken as answered by who starts among cold servers: a storm may be on
 YOUNG = 0.5             # part of the warm-up in which it does: about half of its capacity is there then
 LEAST_WEIGHT = 0.0001   # what rounding leaves of a weight above 0: a line must not vanish by it
 NO_LIMIT = 1e6          # transactions a second at a proxy that stand for letting in all
@@ -127,6 +128,8 @@
             # would get as much as the rest. They start over too: levels were lost, a storm may be on.
             cold = started and now - started < self.settings.get("cold_time", 0)
             rec.ramp_from = now if self.listed_once or cold else None
+            if cold and not self.listed_once:
+                self.through = START_THROUGH
         rec.zone, rec.phase, rec.started = zone, phase, max(started, rec.started)
         rec.listed = weight if weight > 0 else 1.0
 
