--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -260,11 +260,12 @@
         link.answered, link.time = link.answered + answered, link.time + answered * mean
         rec.tried, rec.missed = rec.tried + tries, rec.missed + min(failed, tries)
         rec.done, rec.spent = rec.done + answered, rec.spent + answered * mean
-        u = self._utilization(link, link.time / link.answered) if answered else 0
         # A report of failures alone is an alarm like u over 80%, once enough tries stand behind it: for quick
         # errors, hangs, silence, a cut link. u is none while the fleet strains: a cut would only move load.
         link.streak = 0 if failed < tries else link.streak + tries
-        over = failed >= tries or u > BETA and not self.strained and self.room >= 1
+        eased = not self.strained and self.room >= 1
+        over = failed >= tries or bool(
+            answered and eased and self._utilization(link, link.time / link.answered) > BETA)
         link.over = link.over + 1 if over else 0
         if link.cut_at is not None and not over:
             link.cut_at, link.ramp_from = None, now
@@ -345,8 +346,10 @@
 
     # ---- orders
 
-    def _cold(self, now, rec):
-        return rec.ramp_from is not None and now - rec.started < self.settings.get("cold_time", 3 * RAMP_STEP)
+    def _cold(self, now, rec, part=1.0):
+        """Is a server within its told warm-up, or within a part of it?"""
+        warm_up = self.settings.get("cold_time", 3 * RAMP_STEP)
+        return rec.ramp_from is not None and now - rec.started < part * warm_up
 
     def _table(self, zone):
         for own in (False, True)[:1 + bool(self.own)]:
@@ -370,8 +373,8 @@
             part *= self.through
             # Proxies that shun whoever fails them would crowd to one they have not met. Harm: in a jam every
             # server counts, so one half through its warm-up stays.
-            young = now - rec.started < YOUNG * self.settings.get("cold_time", 3 * RAMP_STEP)
-            if young and self.through < STORM and self.settings.get("avoid_after") and any(
+            crowds = self.through < STORM and self.settings.get("avoid_after")
+            if crowds and self._cold(now, rec, YOUNG) and any(
                     r.phase == "ready" and not self._cold(now, r) for r in self.backends.values()):
                 return 0.0
             average = min(average or 0, link.cost or 0)  # an idle cold server answers fast: no more for that
@@ -392,10 +395,10 @@
         clear = self._waiting() < self.settings.get("backlog_limit", 1e9) / 2
         ordinary = self.ordinary_due and clear
         self.ordinary_due = False
-        before = self.serial
+        before, shares = self.serial, self._shares()
         for (zone, own), table in self.tables.items():
             users = [p for p, (z, bound) in self.proxies.items() if z == zone and table in bound]
-            empty = not any(rec.sent.get(table) for rec in self.backends.values())
+            empty = not self._lines(table)
             for rec in self.backends.values():
                 want, sent = self._want(now, rec, zone, own), rec.sent.get(table, 0.0)
                 if want == sent:
@@ -407,18 +410,17 @@
                 if rule or clear and alarm or ordinary and abs(want - sent) > RESEND * sent:
                     self.host.weigh(table, rec.id, want)
                     rec.sent[table] = want
-                    for proxy in users:
-                        self._count(now, proxy, 1)
+                    self._tell(now, users)
             if clear:
-                self._levels(now, table, users, own)
+                self._levels(now, table, users, own, shares)
         if self.serial != before and self.settings.get("messages_limit"):
             span = self.settings.get("messages_span", 10 * SECOND)
             self.next_flush = now + int(MESSAGE_ROOM * span / self.settings["messages_limit"])
         for proxy in self.proxies:
             self._bind(now, proxy)
 
-    def _levels(self, now, table, users, own):
-        sent, shares = self.levels.setdefault(table, {}), self._shares()
+    def _levels(self, now, table, users, own, shares):
+        sent = self.levels.setdefault(table, {})
         for position, kind in enumerate(self.classes):
             if bool(self.own >> position & 1) != own:
                 continue
@@ -434,15 +436,17 @@
                     rate = self.asked.get(kind.get("name"), 0) * (1 - RECENT) / max(1, len(self.proxies))
                     share = share * rate if share < 1 else NO_LIMIT
                 self.host.level(table, 1 << position, share, retries)
-                for proxy in users:
-                    self._count(now, proxy, 1)
+                self._tell(now, users)
+
+    def _lines(self, table):
+        return sum(1 for rec in self.backends.values() if rec.sent.get(table))
 
     def _bind(self, now, proxy):
         zone, bound = self.proxies[proxy]
         rest = (1 << len(self.classes)) - 1 - self.own if self.own else 0
         for own, classes in ((False, rest), (True, self.own)):
             table = self.tables.get((zone, own))
-            lines = sum(1 for rec in self.backends.values() if rec.sent.get(table))
+            lines = self._lines(table)
             if table not in bound and lines:      # an empty table is worse than what the proxy holds
                 bound.add(table)
                 self.host.bind(proxy, table, classes)
@@ -455,7 +459,7 @@
             if out != rec.sent.get("out", False):
                 rec.sent["out"] = out
                 self.host.withdraw(rec.id, out)
-                self._tell_all(now)
+                self._tell(now, self.proxies)
         ready = {rec.id: rec for rec in self.backends.values() if rec.phase == "ready"}
         for table, lines in self.slices.items():
             lost, alone = [b for b in lines if b not in ready], self.settings.get("one_owner")
@@ -468,21 +472,21 @@
                 new = min(ready, key=lambda b: (self._cold(now, ready[b]), held.count(b)))
                 self.host.weigh(table, new, 1.0)
                 lines[new] = 1.0
-                self._tell_all(now)
+                self._tell(now, self.proxies)
             for backend in lost:
                 del lines[backend]
                 if not alone:
                     self.host.weigh(table, backend, 0.0)
-                    self._tell_all(now)
+                    self._tell(now, self.proxies)
             if self.moving.pop(table, None):
                 self.host.level(table, 0, 1.0, self.settings.get("usual_retry", 0))
-                self._tell_all(now)
+                self._tell(now, self.proxies)
 
     def _may_move(self, now, table):
         """Two owners must not write at once: nothing is let in until the last one's writes and lease end."""
         if table not in self.moving:
             self.host.level(table, 0, 0.0, 0)
-            self._tell_all(now)
+            self._tell(now, self.proxies)
             wait = sum(self.settings.get(k, SECOND) for k in ("lease", "write_life", "message_delay_worst"))
             self.moving[table] = now + wait, self.serial
             self.host.wake(wait, "flush")
@@ -493,8 +497,8 @@
             self.host.wake(SECOND, "flush")
         return now >= since and told
 
-    def _tell_all(self, now):
-        for proxy in self.proxies:
+    def _tell(self, now, proxies):
+        for proxy in proxies:
             self._count(now, proxy, 1)
 
     def _count(self, now, proxy, lines):
--- a/granitespool/wirehost.py
+++ b/granitespool/wirehost.py
@@ -9,6 +9,7 @@
 
 from granitespool.rules import Planner
 
+NUM = (int, float)
 NS = 1000  # nanoseconds in the wire's microsecond
 
 # Settings: our name -> (path on the wire, is it a time)
@@ -108,6 +109,11 @@
     return value
 
 
+def time(event, key):
+    """A time that must be there, in whole nanoseconds."""
+    return int(need(event, key, NUM) * NS)
+
+
 def renamed(source, names):
     """A plain map in our words from nested wire settings; what is absent stays absent."""
     result = {}
@@ -137,7 +143,7 @@
     if not pairs:
         return {}
     pairs = pairs.items() if isinstance(pairs, dict) else pairs
-    return {LOAD[k][0]: v * LOAD[k][1] for k, v in pairs if k in LOAD and isinstance(v, (int, float))}
+    return {LOAD[k][0]: v * LOAD[k][1] for k, v in pairs if k in LOAD and isinstance(v, NUM)}
 
 
 def list_entry(row):
@@ -149,7 +155,6 @@
             "started": (row.get("since_us") or 0) * NS}
 
 
-NUM = (int, float)
 # event -> call on the planner; `e` is the event, `now` the batch clock
 CALLS = {
     "backends_changed": lambda p, now, e: p.list_news(
@@ -157,26 +162,25 @@
     "tick_due": lambda p, now, e: p.timer(now, need(e, "cookie", str)),
     "echo": lambda p, now, e: p.probed(now, need(e, "backend", str),
                                        ANSWER.get(need(e, "state_code", str), "error"),
-                                       int(need(e, "spent_us", NUM) * NS), load_map(e)),
+                                       time(e, "spent_us"), load_map(e)),
     "peer_data": lambda p, now, e: p.peer_said(now, need(e, "sender", int), need(e, "contents", str)),
     "connected": lambda p, now, e: p.joined(now, need(e, "agent", int), need(e, "zone", str),
                                             need(e, "flag", bool), e.get("weight") or 0),
     "left": lambda p, now, e: p.left(now, need(e, "agent", int)),
     "heard": lambda p, now, e: p.heard(now, need(e, "zone", str), need(e, "backend", str),
                                        need(e, "number", NUM), need(e, "bad", NUM),
-                                       int(need(e, "spent_us", NUM) * NS),
-                                       int(need(e, "window_us", NUM) * NS), load_map(e)),
+                                       time(e, "spent_us"), time(e, "window_us"), load_map(e)),
     "arrivals": lambda p, now, e: p.arrivals(now, need(e, "agent", int), need(e, "grade", str),
                                              need(e, "number", NUM), need(e, "bad", NUM),
-                                             int(need(e, "window_us", NUM) * NS)),
+                                             time(e, "window_us")),
     "slice_load": lambda p, now, e: p.slice_load(now, need(e, "tbl", int), need(e, "grade", str),
                                                  need(e, "number", NUM), need(e, "bad", NUM),
-                                                 int(need(e, "window_us", NUM) * NS)),
+                                                 time(e, "window_us")),
     "mandate": lambda p, now, e: p.slice_given(now, need(e, "tbl", int), need(e, "flag", bool)),
     "held": lambda p, now, e: p.slice_line(now, need(e, "tbl", int), need(e, "backend", str),
                                            need(e, "weight", NUM)),
     "in_force": lambda p, now, e: p.applied(now, need(e, "agent", int), need(e, "serial", int),
-                                            int(need(e, "spent_us", NUM) * NS)),
+                                            time(e, "spent_us")),
 }
 
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -93,13 +93,15 @@
         marks = [call.split()[1] for call in self.calls if call.startswith("mark")]
         self.begin().applied(self.now, int(proxy), int(marks[-1]), 10**8)
 
-    def do_expect(self, *words):
+    def made(self, words):
         text = " ".join(words)
-        assert any(call == text or call.startswith(text + " ") for call in self.calls), (text, self.calls)
+        return [call for call in self.calls if call == text or call.startswith(text + " ")]
+
+    def do_expect(self, *words):
+        assert self.made(words), (words, self.calls)
 
     def do_never(self, *words):
-        text = " ".join(words)
-        assert not [call for call in self.calls if call == text or call.startswith(text + " ")], self.calls
+        assert not self.made(words), self.calls
 
     def do_count(self, number, *words):
         text = " ".join(words)
