Send within the channel's room: joiners in turn, worth most first, shut-outs for the unbound

All lines are now put in only while they fit; rule lines may use the whole limit, the rest half; joiners are bound in turn, busiest first; until then drains are shut out of what they hold.

--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -46,6 +46,8 @@
 LEAST_WEIGHT = 0.0001   # what rounding leaves of a weight above 0: a line must not vanish by it
 NO_LIMIT = 1e6          # transactions a second at a proxy that stand for letting in all
 SERIALS = 65536         # marks are whole numbers under this
+ORDINARY = 0.3          # part of the channel's pace that ordinary changes may use: orders have a price
+MARK_LOST = 8           # times the told pace that the whole channel may be slower; marks later than that are lost
 
 
 class Link:
@@ -81,14 +83,16 @@
     def __init__(self, host, now, seed, settings):
         self.host, self.settings = host, settings
         self.jitter = Random(seed).uniform
-        self.backends, self.proxies = {}, {}      # id -> Backend; id -> (zone, tables bound to)
+        self.backends, self.proxies = {}, {}      # id -> Backend; id -> (zone, tables bound to, rate)
+        self.unbound = {}                         # proxies that still wait for a table of this planner
         self.tables, self.average = {}, {}        # (zone, only its servers) -> table; zone -> cost, ns
         self.slices, self.moving = {}, {}         # slice in charge -> its lines; -> (free from, mark)
         self.classes = [{"promised_time": SECOND, "benefit": 1, **c} for c in settings.get("classes") or []]
         self.own = sum(1 << k for k, kind in enumerate(self.classes) if kind.get("own_zone_only"))
         self.levels = {}                          # table -> {class position: (share, retries)} as sent
-        self.out, self.serial, self.reply_at = deque(), 0, None  # messages not known to have left the channel
+        self.out, self.serial, self.waiting = deque(), 0, 0  # messages not known to have left the channel; lines
         self.next_flush, self.flush_due, self.ordinary_due = 0, False, False
+        self.credit, self.lines, self.users = 0.0, {}, {}  # lines for ordinary changes; table -> lines, users
         self.listed_once, self.failing, self.strained = False, False, False
         self.through = 1.0                        # share of all tries that is answered lately
         self.room, self.asked = 1.0, {}           # share of work let in; class name -> transactions lately
@@ -114,7 +118,7 @@
                 if rec.id not in seen:
                     rec.phase = "gone"
         self.listed_once = True
-        self._flush(now, False)
+        self._flush(now)
 
     def _entry(self, now, backend, zone, cell, phase, weight, started):
         rec = self.backends.get(backend)
@@ -144,7 +148,7 @@
             self._pace(now)
         elif cookie == "flush":
             self.flush_due = False
-            self._flush(now, False)
+            self._flush(now)
         elif cookie == "observe":
             self.host.observe(True)
 
@@ -161,7 +165,10 @@
                 link.tries, link.failed = link.tries * KEEP, link.failed * KEEP
                 link.answered, link.time = link.answered * KEEP, link.time * KEEP
             self.average[zone] = sum(costs) / len(costs) if costs else None
-        self._flush(now, True)
+        pace = self.settings.get("lines_per_s", 1e9)
+        self.credit = min(self.credit + ORDINARY * pace * PERIOD / SECOND, pace)
+        self.ordinary_due = True
+        self._flush(now)
 
     def _cost(self, now, rec, link):
         """W = (p*2*RTT + (1-p)*RTT) * f(u), or None where too little was heard."""
@@ -244,7 +251,10 @@
                 if not link.spare and now - link.cut_at >= UNHEARD_PERIODS * PERIOD:
                     rec.links[zone] = Link()
                     rec.links[zone].ramp_from = now
-        self._flush(now, False)
+        lost_after = MARK_LOST * SECOND * self.settings.get("backlog_limit", 0) / self.settings.get("lines_per_s", 1)
+        while self.out and now - self.out[0][2] > max(lost_after, 2 * MARK_LOST * SECOND):
+            self.waiting -= sum(self.out.popleft()[1].values())
+        self._flush(now)
 
     # ---- what is heard
 
@@ -269,10 +279,10 @@
         link.over = link.over + 1 if over else 0
         if link.cut_at is not None and not over:
             link.cut_at, link.ramp_from = None, now
-            self._flush(now, False)
+            self._flush(now, rec)
         elif link.over >= CUT_REPORTS and link.cut_at is None and (link.streak >= CUT_TRIES or answered):
             self._cut(now, zone, link)
-            self._flush(now, False)
+            self._flush(now, rec)
         elif failed >= tries:
             self._probe(now, rec)
 
@@ -298,7 +308,7 @@
                 link.cut_at = now
             elif link.streak:
                 self._cut(now, zone, link)
-        self._flush(now, False)
+        self._flush(now, rec)
 
     def arrivals(self, now, proxy, grade, number, unanswered, window):
         self.asked[grade] = self.asked.get(grade, 0) + number
@@ -309,24 +319,31 @@
     # ---- proxies
 
     def joined(self, now, proxy, zone, standing, rate):
-        self.proxies[proxy] = zone, set()         # a proxy and the tables it is bound to
+        self.left(now, proxy)
+        self.proxies[proxy] = zone, set(), rate
         self._table(zone)
         for rec in self.backends.values():
             rec.sent.pop("out", None)             # what was shut out before did not reach this one
-        self._flush(now, False)
-        if not self.settings.get("slices"):
-            self._bind(now, proxy)                # rule traffic: not held back by the gap between messages
+        if self.settings.get("slices"):
+            return self._flush(now)
+        self.unbound[proxy] = None
+        if not self.lines.get(self.tables[zone, False]):
+            self._flush(now)
+        self._bind(now, proxy)
 
     def left(self, now, proxy):
-        self.proxies.pop(proxy, None)
-        for _, lines in self.out:
-            lines.pop(proxy, None)
+        for table in self.proxies.pop(proxy, (None, ()))[1]:
+            del self.users[table][proxy]
+        self.unbound.pop(proxy, None)
+        for _, lines, _ in self.out:
+            self.waiting -= lines.pop(proxy, 0)
 
     def applied(self, now, proxy, serial, took):
-        if any(s == serial for s, _ in self.out):
+        if any(entry[0] == serial for entry in self.out):
             while self.out[0][0] != serial:       # the channel is one queue: what came before has left it too
-                self.out.popleft()
-            self.out[0][1].pop(proxy, None)
+                self.waiting -= sum(self.out.popleft()[1].values())
+            self.waiting -= self.out[0][1].pop(proxy, 0)
+            self._bind_next(now)
 
     # ---- slices
 
@@ -353,7 +370,9 @@
 
     def _table(self, zone):
         for own in (False, True)[:1 + bool(self.own)]:
-            self.tables.setdefault((zone, own), len(self.tables))
+            table = self.tables.setdefault((zone, own), len(self.tables))
+            self.users.setdefault(table, {})
+            self.lines.setdefault(table, 0)
 
     def _want(self, now, rec, zone, own):
         link = rec.link(zone)
@@ -381,9 +400,9 @@
         cost = average / link.cost if average and link.cost else 1.0
         return max(LEAST_WEIGHT, round(rec.listed * cost * part, 4))
 
-    def _flush(self, now, ordinary):
-        """Sends what differs from the wanted tables; all but rule traffic only while the backlog is short."""
-        self.ordinary_due |= ordinary
+    def _flush(self, now, only=None):
+        """Sends what differs from the wanted tables, of one backend or of all: what a rule needs first, then what
+        moves most. Only that may use the second half of the channel; ordinary changes keep a pace of their own."""
         if now < self.next_flush:
             if not self.flush_due:
                 self.flush_due = True
@@ -391,33 +410,61 @@
             return
         if self.settings.get("slices"):
             return self._keep_slices(now)
-        # Only what a rule needs may use the second half: a channel slower than told shows by its marks alone.
-        clear = self._waiting() < self.settings.get("backlog_limit", 1e9) / 2
-        ordinary = self.ordinary_due and clear
-        self.ordinary_due = False
-        before, shares = self.serial, self._shares()
+        before, moves, touched = self.serial, [], set()
         for (zone, own), table in self.tables.items():
-            users = [p for p, (z, bound) in self.proxies.items() if z == zone and table in bound]
-            empty = not self._lines(table)
-            for rec in self.backends.values():
+            for rec in (only,) if only else self.backends.values():
                 want, sent = self._want(now, rec, zone, own), rec.sent.get(table, 0.0)
                 if want == sent:
                     continue
-                link = rec.link(zone)
-                cold = self._cold(now, rec)
-                rule = rec.phase != "ready" or empty or cold and want < sent * (1 - RESEND)
-                alarm = want == 0 or sent == 0 or want < sent * (1 - RESEND) and link.cut_at is not None
-                if rule or clear and alarm or ordinary and abs(want - sent) > RESEND * sent:
-                    self.host.weigh(table, rec.id, want)
-                    rec.sent[table] = want
-                    self._tell(now, users)
-            if clear:
-                self._levels(now, table, users, own, shares)
+                less, moved = want < sent * (1 - RESEND), abs(want - sent)
+                if rec.phase != "ready" or not self.lines[table] or less and self._cold(now, rec):
+                    moves.append((0, -moved, rec.id, table, want))
+                elif want == 0 or sent == 0 or less and rec.link(zone).cut_at is not None:
+                    moves.append((1, -moved, rec.id, table, want))
+                elif self.ordinary_due and moved > RESEND * sent and not self.unbound:
+                    moves.append((2, -moved, rec.id, table, want))
+        for rec in (only,) if only else self.backends.values():
+            out = rec.phase != "ready" and bool(self.unbound or rec.sent.get("out"))
+            if out != rec.sent.get("out", False):
+                moves.append((0, 0.0, rec.id, None, out))  # after its lines: then it costs at unbound proxies only
+        if not only:
+            self.ordinary_due = False
+        for urgency, _, backend, table, want in sorted(moves):
+            rec = self.backends[backend]
+            if table is None:
+                self._shut_out(now, rec, want)
+                continue
+            users = self.users[table]
+            cost = len(users) * (1 if table in touched else 2 + self.settings.get("message_head", 0))
+            if cost > (self._room(1), self._room(0.5), min(self._room(0.5), self.credit))[urgency]:
+                continue
+            self.credit -= cost * (urgency == 2)
+            touched.add(table)
+            self.host.weigh(table, rec.id, want)
+            self.lines[table] += bool(want) - bool(rec.sent.get(table))
+            rec.sent[table] = want
+            self._tell(now, users)
+        if not only:
+            shares = self._shares()
+            for (_, own), table in self.tables.items():
+                if self._room(0.5) > 0:
+                    self._levels(now, table, self.users[table], own, shares)
         if self.serial != before and self.settings.get("messages_limit"):
             span = self.settings.get("messages_span", 10 * SECOND)
             self.next_flush = now + int(MESSAGE_ROOM * span / self.settings["messages_limit"])
-        for proxy in self.proxies:
-            self._bind(now, proxy)
+        self._bind_next(now)
+
+    def _shut_out(self, now, rec, out):
+        """Proxies not bound yet go on with tables of others: what drains or is gone is shut out of those too."""
+        holders = [*self.unbound, *(p for t in self.users if rec.sent.get(t) for p in self.users[t])]
+        if len(holders) * (2 + self.settings.get("message_head", 0)) <= self._room(1):
+            rec.sent["out"] = out
+            self.host.withdraw(rec.id, out)
+            self._tell(now, holders)
+
+    def _room(self, part):
+        """Lines that may still be put into the channel up to a part of its limit."""
+        return part * self.settings.get("backlog_limit", 1e9) - self.waiting
 
     def _levels(self, now, table, users, own, shares):
         sent = self.levels.setdefault(table, {})
@@ -438,19 +485,29 @@
                 self.host.level(table, 1 << position, share, retries)
                 self._tell(now, users)
 
-    def _lines(self, table):
-        return sum(1 for rec in self.backends.values() if rec.sent.get(table))
+    def _bind_next(self, now):
+        """Joiners are bound in turn, as the channel has room, those with most traffic first."""
+        for proxy in sorted(self.unbound, key=lambda proxy: -self.proxies[proxy][2]):
+            if not self._bind(now, proxy):
+                break
 
     def _bind(self, now, proxy):
-        zone, bound = self.proxies[proxy]
+        zone, bound, _ = self.proxies[proxy]
         rest = (1 << len(self.classes)) - 1 - self.own if self.own else 0
         for own, classes in ((False, rest), (True, self.own)):
             table = self.tables.get((zone, own))
-            lines = self._lines(table)
-            if table not in bound and lines:      # an empty table is worse than what the proxy holds
-                bound.add(table)
-                self.host.bind(proxy, table, classes)
-                self._count(now, proxy, 1 + lines + len(self.levels.get(table, ())))
+            if table in bound or not self.lines.get(table):  # an empty table is worse than what the proxy holds
+                continue
+            cost = 1 + self.lines[table] + len(self.levels.get(table, ()))
+            if cost > self._room(0.5) and self.waiting > 0:
+                return False
+            bound.add(table)
+            self.users[table][proxy] = None
+            self.host.bind(proxy, table, classes)
+            self._count(now, proxy, cost)
+        if len(bound) == 1 + bool(self.own):
+            self.unbound.pop(proxy, None)
+        return True
 
     def _keep_slices(self, now):
         """Slices: the store's lines stand; only what drains or is lost is shut out and replaced."""
@@ -492,7 +549,7 @@
             self.host.wake(wait, "flush")
             return False
         since, serial = self.moving[table]
-        told = all(number != serial or not lines for number, lines in self.out)
+        told = all(number != serial or not lines for number, lines, _ in self.out)
         if now >= since and not told:
             self.host.wake(SECOND, "flush")
         return now >= since and told
@@ -503,13 +560,11 @@
 
     def _count(self, now, proxy, lines):
         """Books lines to the message that this reply sends a proxy; the first one asks for an answer."""
-        if self.reply_at != now:
-            self.reply_at, self.serial = now, (self.serial + 1) % SERIALS
-            self.out.append((self.serial, {}))
+        if not self.out or self.out[-1][2] != now:
+            self.serial = (self.serial + 1) % SERIALS
+            self.out.append((self.serial, {}, now))
             self.host.mark(self.serial, False)
         booked = self.out[-1][1]
-        booked[proxy] = booked.get(proxy, self.settings.get("message_head", 0) + 1) + lines
-
-    def _waiting(self):
-        """Lines that may still wait in the channel: all that no mark has told to have left."""
-        return sum(sum(lines.values()) for _, lines in self.out)
+        lines += 0 if proxy in booked else self.settings.get("message_head", 0) + 1
+        booked[proxy] = booked.get(proxy, 0) + lines
+        self.waiting += lines
