--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -326,7 +326,7 @@
             rec.sent.pop("out", None)             # what was shut out before did not reach this one
         if self.settings.get("slices"):
             return self._flush(now)
-        self.unbound[proxy] = None
+        self.unbound[proxy] = self.settings.get("standing_lines", 0) if standing else len(self.backends)
         if not self.lines.get(self.tables[zone, False]):
             self._flush(now)
         self._bind(now, proxy)
@@ -376,7 +376,7 @@
 
     def _want(self, now, rec, zone, own):
         link = rec.link(zone)
-        if rec.phase != "ready" or own and rec.zone != zone:
+        if rec.phase != "ready" or own and rec.zone != zone or rec.sent.get("out"):
             return 0.0
         if link.cut_at is not None and not (link.spare or own):
             return 0.0
@@ -411,6 +411,7 @@
         if self.settings.get("slices"):
             return self._keep_slices(now)
         before, moves, touched = self.serial, [], set()
+        self._shut_out(now)
         for (zone, own), table in self.tables.items():
             for rec in (only,) if only else self.backends.values():
                 want, sent = self._want(now, rec, zone, own), rec.sent.get(table, 0.0)
@@ -423,18 +424,10 @@
                     moves.append((1, -moved, rec.id, table, want))
                 elif self.ordinary_due and moved > RESEND * sent and not self.unbound:
                     moves.append((2, -moved, rec.id, table, want))
-        for rec in (only,) if only else self.backends.values():
-            out = rec.phase != "ready" and bool(self.unbound or rec.sent.get("out"))
-            if out != rec.sent.get("out", False):
-                moves.append((0, 0.0, rec.id, None, out))  # after its lines: then it costs at unbound proxies only
         if not only:
             self.ordinary_due = False
         for urgency, _, backend, table, want in sorted(moves):
-            rec = self.backends[backend]
-            if table is None:
-                self._shut_out(now, rec, want)
-                continue
-            users = self.users[table]
+            rec, users = self.backends[backend], self.users[table]
             cost = len(users) * (1 if table in touched else 2 + self.settings.get("message_head", 0))
             if cost > (self._room(1), self._room(0.5), min(self._room(0.5), self.credit))[urgency]:
                 continue
@@ -444,6 +437,7 @@
             self.lines[table] += bool(want) - bool(rec.sent.get(table))
             rec.sent[table] = want
             self._tell(now, users)
+        self._shut_out(now)
         if not only:
             shares = self._shares()
             for (_, own), table in self.tables.items():
@@ -454,13 +448,18 @@
             self.next_flush = now + int(MESSAGE_ROOM * span / self.settings["messages_limit"])
         self._bind_next(now)
 
-    def _shut_out(self, now, rec, out):
-        """Proxies not bound yet go on with tables of others: what drains or is gone is shut out of those too."""
-        holders = [*self.unbound, *(p for t in self.users if rec.sent.get(t) for p in self.users[t])]
-        if len(holders) * (2 + self.settings.get("message_head", 0)) <= self._room(1):
-            rec.sent["out"] = out
-            self.host.withdraw(rec.id, out)
-            self._tell(now, holders)
+    def _shut_out(self, now):
+        """Proxies not bound yet go on with tables of others: what drains or is gone is shut out of those too, all
+        at once and when its lines have left the tables here, so that it costs at those proxies alone."""
+        turned = [rec for rec in self.backends.values() if not any(rec.sent.get(t) for t in self.users)
+                  and rec.sent.get("out", False) != (rec.phase != "ready" and bool(self.unbound or rec.sent.get("out")))]
+        cost = {proxy: min(held, len(turned)) for proxy, held in self.unbound.items()}
+        if turned and sum(cost.values()) + len(cost) * (1 + self.settings.get("message_head", 0)) <= self._room(1):
+            for rec in turned:
+                rec.sent["out"] = rec.phase != "ready"
+                self.host.withdraw(rec.id, rec.sent["out"])
+            for proxy, lines in cost.items():
+                self._count(now, proxy, lines)
 
     def _room(self, part):
         """Lines that may still be put into the channel up to a part of its limit."""
--- a/granitespool/wirehost.py
+++ b/granitespool/wirehost.py
@@ -26,7 +26,7 @@
     "report_every": ("family_info.report_every_us", True),
     "reports_per_s": ("family_info.ingest_rate", False),
     "avoid_after": ("family_info.outlier_after", False), "try_factor": ("family_info.try_factor", False),
-    "usual_retry": ("family_info.default_retry", False),
+    "standing_lines": ("family_info.bootstrap", False), "usual_retry": ("family_info.default_retry", False),
     "empty_limit": ("family_info.empty_for_us", True), "proxies_expected": ("family_info.proxy_count", False),
     "slices": ("family_info.slices", False), "one_owner": ("family_info.one_owner", False),
     "lease": ("family_info.lease_us", True), "write_life": ("family_info.write_life_us", True),
