Probe what the list drops where only drains bind; a new server earns its ramp by an answer

A server that the list drops without a drain stays until a probe or the reports tell; a new one waits for a probe's answer. Also holds against old lists after a restart of the list service. Harm: a dead server stays until the probe returns.

--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -66,14 +66,15 @@
 class Backend:
     """The one record of a backend."""
     __slots__ = ("id", "zone", "phase", "listed", "started", "ramp_from", "busy", "links", "sent",
-                 "tried", "missed", "done", "spent", "probed_at")
+                 "tried", "missed", "done", "spent", "probed_at", "missing", "proven", "gone_at")
 
     def __init__(self, backend):
         self.id, self.zone, self.phase, self.listed, self.started = backend, None, "gone", 1.0, 0
         self.ramp_from = self.busy = None
         self.links, self.sent = {}, {}
         self.tried = self.missed = self.done = self.spent = 0.0
-        self.probed_at = None
+        self.probed_at, self.missing, self.gone_at = None, False, 0  # missing: serves, but the list calls it gone
+        self.proven = True                        # has answered, or stood in the first list
 
     def link(self, zone):
         return self.links.get(zone) or self.links.setdefault(zone, Link())
@@ -116,7 +117,7 @@
         if form != "changes":
             for rec in self.backends.values():
                 if rec.id not in seen:
-                    rec.phase = "gone"
+                    self._entry(now, rec.id, rec.zone, None, "gone", rec.listed, 0)
         self.listed_once = True
         self._flush(now)
 
@@ -124,8 +125,20 @@
         rec = self.backends.get(backend)
         if rec is None:
             rec = self.backends[backend] = Backend(backend)
+        # Where only a drain binds, a list that drops a server is checked by a probe: it may be an old or a wrong
+        # one. Harm: one that died is kept until the probe, or the reports, tell.
+        rec.missing = bool(phase == "gone" and rec.phase == "ready" and self.settings.get("drain_needs_entry"))
+        if rec.missing:
+            return self._probe(now, rec, True)
+        if phase == "gone":
+            rec.gone_at = now
         fresh = phase == "ready" and (rec.phase != "ready" or started > rec.started)
         if fresh:
+            # A list may name what is not there: who is new earns its ramp by an answer, where probes can tell.
+            # Harm: half a second for each new server, more where only the probes' way is bad.
+            rec.proven = not (self.listed_once and self.settings.get("probes"))
+            if not rec.proven:
+                self._probe(now, rec, True)
             rec.links.clear()
             rec.busy = None
             # At an instance's start nothing is heard of anyone: only those still cold are new, or a cold one
@@ -153,7 +166,8 @@
             self.host.observe(True)
 
     def _round(self, now):
-        for rec in [r for r in self.backends.values() if r.phase == "gone" and not any(r.sent.values())]:
+        for rec in [r for r in self.backends.values() if r.phase == "gone" and not any(r.sent.values())
+                    and now - r.gone_at > LOWEST_SPAN]:
             del self.backends[rec.id]
         for zone in {zone: None for zone, _ in self.tables}:
             costs = []
@@ -244,6 +258,8 @@
     def _pace(self, now):
         self._strain()
         for rec in self.backends.values():
+            if rec.phase == "ready" and not rec.proven:
+                self._probe(now, rec)
             for zone, link in rec.links.items():
                 if link.cut_at is None:
                     continue
@@ -266,6 +282,8 @@
         link = rec.link(zone)
         rec.busy = load.get("busy", rec.busy)
         answered = max(0, tries - failed) if mean > 0 else 0
+        if answered:
+            self._prove(now, rec)
         link.tries, link.failed = link.tries + tries, link.failed + min(failed, tries)
         link.answered, link.time = link.answered + answered, link.time + answered * mean
         rec.tried, rec.missed = rec.tried + tries, rec.missed + min(failed, tries)
@@ -293,16 +311,25 @@
         out = sum(1 for each in ready if each.cut_at is not None and not each.spare)
         link.spare, link.cut_at = (out + 1) * CUT_SHARE > len(ready), now
 
-    def _probe(self, now, rec):
-        if self.settings.get("probes") and (rec.probed_at is None or now - rec.probed_at >= PROBE_GAP):
+    def _prove(self, now, rec):
+        if not rec.proven:
+            rec.proven, rec.ramp_from = True, now
+            self._flush(now, rec)
+
+    def _probe(self, now, rec, at_once=False):
+        if self.settings.get("probes") and (at_once or rec.probed_at is None or now - rec.probed_at >= PROBE_GAP):
             rec.probed_at = now
             self.host.probe(rec.id)
 
     def probed(self, now, backend, status, took, load):
         """A silent probe confirms a report of failures and keeps a cut server out."""
         rec = self.backends.get(backend)
+        if rec and status in ("ok", "full"):
+            self._prove(now, rec)
         if rec is None or status not in ("timeout", "unreachable", "reset") or self.strained:
             return
+        if rec.missing:
+            rec.missing, rec.phase, rec.gone_at = False, "gone", now
         for zone, link in rec.links.items():
             if link.cut_at is not None:
                 link.cut_at = now
@@ -381,6 +408,8 @@
         if link.cut_at is not None and not (link.spare or own):
             return 0.0
         average, part = self.average.get(zone), 1.0
+        if not rec.proven and not self.bare:
+            return 0.0
         for since in (rec.ramp_from, link.ramp_from):
             if since is not None:
                 part = min(part, RAMP_START * 2.0 ** ((now - since) // RAMP_STEP))
@@ -412,6 +441,7 @@
             return self._keep_slices(now)
         before, moves, touched = self.serial, [], set()
         self._shut_out(now)
+        self.bare = not any(rec.phase == "ready" and rec.proven for rec in self.backends.values())
         for (zone, own), table in self.tables.items():
             for rec in (only,) if only else self.backends.values():
                 want, sent = self._want(now, rec, zone, own), rec.sent.get(table, 0.0)
@@ -452,11 +482,11 @@
         """Proxies not bound yet go on with tables of others: what drains or is gone is shut out of those too, all
         at once and when its lines have left the tables here, so that it costs at those proxies alone."""
         turned = [rec for rec in self.backends.values() if not any(rec.sent.get(t) for t in self.users)
-                  and rec.sent.get("out", False) != (rec.phase != "ready" and bool(self.unbound or rec.sent.get("out")))]
+                  and rec.sent.get("out", False) != (rec.phase != "ready" and bool(self.unbound))]
         cost = {proxy: min(held, len(turned)) for proxy, held in self.unbound.items()}
         if turned and sum(cost.values()) + len(cost) * (1 + self.settings.get("message_head", 0)) <= self._room(1):
             for rec in turned:
-                rec.sent["out"] = rec.phase != "ready"
+                rec.sent["out"] = not rec.sent.get("out", False)
                 self.host.withdraw(rec.id, rec.sent["out"])
             for proxy, lines in cost.items():
                 self._count(now, proxy, lines)
@@ -498,7 +528,7 @@
             if table in bound or not self.lines.get(table):  # an empty table is worse than what the proxy holds
                 continue
             cost = 1 + self.lines[table] + len(self.levels.get(table, ()))
-            if cost > self._room(0.5) and self.waiting > 0:
+            if cost + 1 + self.settings.get("message_head", 0) > self._room(0.5) and self.waiting > 0:
                 return False
             bound.add(table)
             self.users[table][proxy] = None
