A late probe confirms a cut only where five failing tries stand behind it

Also holds against slow probes of any cause. Harm: a hang with little traffic is cut a report later.

--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -333,7 +333,8 @@
         for zone, link in rec.links.items():
             if link.cut_at is not None:
                 link.cut_at = now
-            elif link.streak:
+            elif link.streak >= (CUT_TRIES if status == "timeout" else 1):
+                # A probe may wait in the queue like a transaction: late, it confirms only what tries stand behind.
                 self._cut(now, zone, link)
         self._flush(now, rec)
 
