--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -47,6 +47,7 @@
 NO_LIMIT = 1e6          # transactions a second at a proxy that stand for letting in all
 SERIALS = 65536         # marks are whole numbers under this
 ORDINARY = 0.3          # part of the channel's pace that ordinary changes may use: orders have a price
+HEADS = 0.15            # part of the channel's pace that heads of messages may take: sets the gap between flushes
 MARK_LOST = 8           # times the told pace that the whole channel may be slower; marks later than that are lost
 
 
@@ -92,7 +93,7 @@
         self.own = sum(1 << k for k, kind in enumerate(self.classes) if kind.get("own_zone_only"))
         self.levels = {}                          # table -> {class position: (share, retries)} as sent
         self.out, self.serial, self.waiting = deque(), 0, 0  # messages not known to have left the channel; lines
-        self.next_flush, self.flush_due, self.ordinary_due = 0, False, False
+        self.next_flush, self.next_alarm, self.flush_due, self.ordinary_due = 0, 0, False, False
         self.credit, self.lines, self.users = 0.0, {}, {}  # lines for ordinary changes; table -> lines, users
         self.listed_once, self.failing, self.strained = False, False, False
         self.through = 1.0                        # share of all tries that is answered lately
@@ -434,13 +435,11 @@
         """Sends what differs from the wanted tables, of one backend or of all: what a rule needs first, then what
         moves most. Only that may use the second half of the channel; ordinary changes keep a pace of their own."""
         if now < self.next_flush:
-            if not self.flush_due:
-                self.flush_due = True
-                self.host.wake(self.next_flush - now, "flush")
-            return
+            return self._flush_at(self.next_flush, now)
         if self.settings.get("slices"):
             return self._keep_slices(now)
         before, moves, touched = self.serial, [], set()
+        held = now < self.next_alarm and not (self.out and self.out[-1][2] == now)
         self._shut_out(now)
         self.bare = not any(rec.phase == "ready" and rec.proven for rec in self.backends.values())
         for (zone, own), table in self.tables.items():
@@ -449,13 +448,15 @@
                 if want == sent:
                     continue
                 less, moved = want < sent * (1 - RESEND), abs(want - sent)
-                if rec.phase != "ready" or not self.lines[table] or less and self._cold(now, rec):
+                if rec.phase != "ready" or not self.lines[table]:
                     moves.append((0, -moved, rec.id, table, want))
-                elif want == 0 or sent == 0 or less and rec.link(zone).cut_at is not None:
+                elif held:
+                    self._flush_at(self.next_alarm, now)
+                elif want == 0 or sent == 0 or less and (self._cold(now, rec) or rec.link(zone).cut_at is not None):
                     moves.append((1, -moved, rec.id, table, want))
                 elif self.ordinary_due and moved > RESEND * sent and not self.unbound:
                     moves.append((2, -moved, rec.id, table, want))
-        if not only:
+        if not only and not held:
             self.ordinary_due = False
         for urgency, _, backend, table, want in sorted(moves):
             rec, users = self.backends[backend], self.users[table]
@@ -469,7 +470,7 @@
             rec.sent[table] = want
             self._tell(now, users)
         self._shut_out(now)
-        if not only:
+        if not only and not held:
             shares = self._shares()
             for (_, own), table in self.tables.items():
                 if self._room(0.5) > 0:
@@ -477,8 +478,16 @@
         if self.serial != before and self.settings.get("messages_limit"):
             span = self.settings.get("messages_span", 10 * SECOND)
             self.next_flush = now + int(MESSAGE_ROOM * span / self.settings["messages_limit"])
+        if self.serial != before and not held:
+            heads = len(self.proxies) * (1 + self.settings.get("message_head", 0))
+            self.next_alarm = now + int(SECOND * heads / HEADS / self.settings.get("lines_per_s", 1e9))
         self._bind_next(now)
 
+    def _flush_at(self, when, now):
+        if not self.flush_due:
+            self.flush_due = True
+            self.host.wake(when - now, "flush")
+
     def _shut_out(self, now):
         """Proxies not bound yet go on with tables of others: what drains or is gone is shut out of those too, all
         at once and when its lines have left the tables here, so that it costs at those proxies alone."""
