--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -20,6 +20,7 @@
 RESEND = 0.1            # part a weight must move by to be sent: the design page's tenth
 CUT_REPORTS = 2         # reports running over before a cut: the design page's
 CUT_TRIES = 5           # tries running that a cut for failures rests on: one or two failing are chance
+LATE_PROBE = 2          # failing tries that a probe without an answer in time stands for
 CUT_SHARE = 3           # at most one in this many listed ready servers is cut from a table: the design page's
 LAST_RESORT = 0.02      # part of its weight that a server past the cap on cuts keeps: some tries to hear it
 UNHEARD_PERIODS = 2     # periods that a cut server stays unheard before it comes back: the design page's
@@ -334,9 +335,11 @@
         for zone, link in rec.links.items():
             if link.cut_at is not None:
                 link.cut_at = now
-            elif link.streak >= (CUT_TRIES if status == "timeout" else 1):
-                # A probe may wait in the queue like a transaction: late, it confirms only what tries stand behind.
-                self._cut(now, zone, link)
+            elif link.streak:
+                # A probe may wait in the queue like a transaction: late, it is worth a few tries and no more.
+                link.streak += LATE_PROBE if status == "timeout" else CUT_TRIES
+                if link.streak >= CUT_TRIES:
+                    self._cut(now, zone, link)
         self._flush(now, rec)
 
     def arrivals(self, now, proxy, grade, number, unanswered, window):
