--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -16,6 +16,7 @@
 RAMP_START = 0.25       # part of its weight that a new or returned server starts at: the design page's
 LOWEST_SPAN = 60 * SECOND  # ns that the lowest mean is looked for in: the design page's minute
 KEEP = 0.92             # part of what was heard that a recompute carries on: a mean over some twelve seconds
+PRIOR = 8.0             # answers that the average cost of a server's kind stands for
 HEARD_LEAST = 3.0       # answers below which a server's mean is chance, so it counts as unheard
 RESEND = 0.1            # part a weight must move by to be sent: the design page's tenth
 CUT_REPORTS = 2         # reports running over before a cut: the design page's
@@ -49,13 +50,14 @@
 SERIALS = 65536         # marks are whole numbers under this
 ORDINARY = 0.3          # part of the channel's pace that ordinary changes may use: orders have a price
 HEADS = 0.15            # part of the channel's pace that heads of messages may take: sets the gap between flushes
+BIND_PART = 0.3         # part of the queue that binds may fill: learnt weights go first, and cost less before them
 MARK_LOST = 8           # times the told pace that the whole channel may be slower; marks later than that are lost
 
 
 class Link:
     """What the proxies of one zone met at a backend, and what that makes of it."""
     __slots__ = ("tries", "failed", "answered", "time", "lows", "over", "streak", "cut_at", "spare",
-                 "ramp_from", "cost")
+                 "ramp_from", "cost", "heard")
 
     def __init__(self):
         self.tries = self.failed = self.answered = self.time = 0.0
@@ -67,11 +69,11 @@
 
 class Backend:
     """The one record of a backend."""
-    __slots__ = ("id", "zone", "phase", "listed", "started", "ramp_from", "busy", "links", "sent",
+    __slots__ = ("id", "zone", "kind", "phase", "listed", "started", "ramp_from", "busy", "links", "sent",
                  "tried", "missed", "done", "spent", "probed_at", "missing", "proven", "gone_at")
 
     def __init__(self, backend):
-        self.id, self.zone, self.phase, self.listed, self.started = backend, None, "gone", 1.0, 0
+        self.id, self.zone, self.kind, self.phase, self.listed, self.started = backend, None, None, "gone", 1.0, 0
         self.ramp_from = self.busy = None
         self.links, self.sent = {}, {}
         self.tried = self.missed = self.done = self.spent = 0.0
@@ -95,7 +97,8 @@
         self.levels = {}                          # table -> {class position: (share, retries)} as sent
         self.out, self.serial, self.waiting = deque(), 0, 0  # messages not known to have left the channel; lines
         self.next_flush, self.next_alarm, self.flush_due, self.ordinary_due = 0, 0, False, False
-        self.credit, self.lines, self.users = 0.0, {}, {}  # lines for ordinary changes; table -> lines, users
+        self.credit = 5 * settings.get("lines_per_s", 1e9)
+        self.lines, self.users = {}, {}  # lines for ordinary changes; table -> lines, users
         self.listed_once, self.failing, self.strained = False, False, False
         self.through = 1.0                        # share of all tries that is answered lately
         self.room, self.asked = 1.0, {}           # share of work let in; class name -> transactions lately
@@ -119,11 +122,11 @@
         if form != "changes":
             for rec in self.backends.values():
                 if rec.id not in seen:
-                    self._entry(now, rec.id, rec.zone, None, "gone", rec.listed, 0)
+                    self._entry(now, rec.id, rec.zone, rec.kind, None, "gone", rec.listed, 0)
         self.listed_once = True
         self._flush(now)
 
-    def _entry(self, now, backend, zone, cell, phase, weight, started):
+    def _entry(self, now, backend, zone, kind, cell, phase, weight, started):
         rec = self.backends.get(backend)
         if rec is None:
             rec = self.backends[backend] = Backend(backend)
@@ -149,7 +152,7 @@
             rec.ramp_from = now if self.listed_once or cold else None
             if cold and not self.listed_once:
                 self.through = START_THROUGH
-        rec.zone, rec.phase, rec.started = zone, phase, max(started, rec.started)
+        rec.zone, rec.kind, rec.phase, rec.started = zone, kind, phase, max(started, rec.started)
         rec.listed = weight if weight > 0 else 1.0
 
     # ---- time
@@ -172,17 +175,23 @@
                     and now - r.gone_at > LOWEST_SPAN]:
             del self.backends[rec.id]
         for zone in {zone: None for zone, _ in self.tables}:
-            costs = []
+            costs, kinds = [], {}
             for rec in self.backends.values():
                 link = rec.link(zone)
                 link.cost = self._cost(now, rec, link)
                 if link.cost is not None and rec.phase == "ready" and link.cut_at is None:
                     costs.append(link.cost)
+                    kinds.setdefault(rec.kind, []).append(link.cost)
+                link.heard = link.answered if link.cost else 0.0
                 link.tries, link.failed = link.tries * KEEP, link.failed * KEEP
                 link.answered, link.time = link.answered * KEEP, link.time * KEEP
             self.average[zone] = sum(costs) / len(costs) if costs else None
+            for rec in self.backends.values():
+                link, like = rec.link(zone), kinds.get(rec.kind)
+                if like:
+                    link.cost = ((link.cost or 0) * link.heard + sum(like) / len(like) * PRIOR) / (link.heard + PRIOR)
         pace = self.settings.get("lines_per_s", 1e9)
-        self.credit = min(self.credit + ORDINARY * pace * PERIOD / SECOND, pace)
+        self.credit = min(self.credit + ORDINARY * pace * PERIOD / SECOND, 5 * pace)
         self.ordinary_due = True
         self._flush(now)
 
@@ -358,7 +367,8 @@
             rec.sent.pop("out", None)             # what was shut out before did not reach this one
         if self.settings.get("slices"):
             return self._flush(now)
-        self.unbound[proxy] = self.settings.get("standing_lines", 0) if standing else len(self.backends)
+        held = self.settings.get("standing_lines", 0) if standing else len(self.backends)
+        self.unbound[proxy] = held, now           # lines of others that it may hold; since when
         if not self.lines.get(self.tables[zone, False]):
             self._flush(now)
         self._bind(now, proxy)
@@ -441,7 +451,7 @@
             return self._flush_at(self.next_flush, now)
         if self.settings.get("slices"):
             return self._keep_slices(now)
-        before, moves, touched = self.serial, [], set()
+        before, moves, touched, left = self.serial, [], set(), False
         held = now < self.next_alarm and not (self.out and self.out[-1][2] == now)
         self._shut_out(now)
         self.bare = not any(rec.phase == "ready" and rec.proven for rec in self.backends.values())
@@ -457,14 +467,15 @@
                     self._flush_at(self.next_alarm, now)
                 elif want == 0 or sent == 0 or less and (self._cold(now, rec) or rec.link(zone).cut_at is not None):
                     moves.append((1, -moved, rec.id, table, want))
-                elif self.ordinary_due and moved > RESEND * sent and not self.unbound:
+                elif self.ordinary_due and moved > RESEND * sent:
                     moves.append((2, -moved, rec.id, table, want))
         if not only and not held:
             self.ordinary_due = False
-        for urgency, _, backend, table, want in sorted(moves):
+        for urgency, _, backend, table, want in sorted(moves, key=lambda move: (move[0] > 0, move[1:])):
             rec, users = self.backends[backend], self.users[table]
             cost = len(users) * (1 if table in touched else 2 + self.settings.get("message_head", 0))
             if cost > (self._room(1), self._room(0.5), min(self._room(0.5), self.credit))[urgency]:
+                left = left or self.credit > cost
                 continue
             self.credit -= cost * (urgency == 2)
             touched.add(table)
@@ -483,7 +494,10 @@
             self.next_flush = now + int(MESSAGE_ROOM * span / self.settings["messages_limit"])
         if self.serial != before and not held:
             heads = len(self.proxies) * (1 + self.settings.get("message_head", 0))
-            self.next_alarm = now + int(SECOND * heads / HEADS / self.settings.get("lines_per_s", 1e9))
+            gap = int(SECOND * heads / HEADS / self.settings.get("lines_per_s", 1e9))
+            self.next_alarm = now + (gap // 4 if left else gap)
+            if left:
+                self._flush_at(self.next_alarm, now)
         self._bind_next(now)
 
     def _flush_at(self, when, now):
@@ -496,7 +510,7 @@
         at once and when its lines have left the tables here, so that it costs at those proxies alone."""
         turned = [rec for rec in self.backends.values() if not any(rec.sent.get(t) for t in self.users)
                   and rec.sent.get("out", False) != (rec.phase != "ready" and bool(self.unbound))]
-        cost = {proxy: min(held, len(turned)) for proxy, held in self.unbound.items()}
+        cost = {proxy: min(held, len(turned)) for proxy, (held, _) in self.unbound.items()}
         if turned and sum(cost.values()) + len(cost) * (1 + self.settings.get("message_head", 0)) <= self._room(1):
             for rec in turned:
                 rec.sent["out"] = not rec.sent.get("out", False)
@@ -529,11 +543,16 @@
 
     def _bind_next(self, now):
         """Joiners are bound in turn, as the channel has room, those with most traffic first."""
-        for proxy in sorted(self.unbound, key=lambda proxy: -self.proxies[proxy][2]):
+        soon = self.settings.get("empty_limit", SECOND) / 2
+        for proxy in sorted(self.unbound, key=lambda proxy: (now - self.unbound[proxy][1] < soon,
+                                                             -self.proxies[proxy][2])):
             if not self._bind(now, proxy):
                 break
 
     def _bind(self, now, proxy):
+        # Shut-outs may leave a joiner with nothing: who waits long may use the whole channel, as rule lines do.
+        since = self.unbound.get(proxy, (0, now))[1]
+        part = min(1, BIND_PART + (now - since) / self.settings.get("empty_limit", SECOND))
         zone, bound, _ = self.proxies[proxy]
         rest = (1 << len(self.classes)) - 1 - self.own if self.own else 0
         for own, classes in ((False, rest), (True, self.own)):
@@ -541,7 +560,7 @@
             if table in bound or not self.lines.get(table):  # an empty table is worse than what the proxy holds
                 continue
             cost = 1 + self.lines[table] + len(self.levels.get(table, ()))
-            if cost + 1 + self.settings.get("message_head", 0) > self._room(0.5) and self.waiting > 0:
+            if cost + 1 + self.settings.get("message_head", 0) > self._room(part) and self.waiting > 0:
                 return False
             bound.add(table)
             self.users[table][proxy] = None
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -64,7 +64,7 @@
         for entry in entries:  # id:zone[:weight[:phase[:started]]]
             usual = ["1", "ready", "0"][entry.count(":") - 1:]
             name, zone, weight, phase, started = (entry.split(":") + usual)[:5]
-            rows.append({"backend": name, "zone": zone, "cell": 0, "phase": phase, "weight": value(weight),
+            rows.append({"backend": name, "zone": zone, "kind": None, "cell": 0, "phase": phase, "weight": value(weight),
                          "started": value(started)})
         self.begin().list_news(self.now, form, rows)
 
