--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -51,6 +51,7 @@
 ORDINARY = 0.3          # part of the channel's pace that ordinary changes may use: orders have a price
 HEADS = 0.15            # part of the channel's pace that heads of messages may take: sets the gap between flushes
 BIND_PART = 0.3         # part of the queue that binds may fill: learnt weights go first, and cost less before them
+BIND_LATE = 0.6         # part that the binds of those may fill who wait long: more than moves, less than drains need
 MARK_LOST = 8           # times the told pace that the whole channel may be slower; marks later than that are lost
 
 
@@ -382,9 +383,12 @@
 
     def applied(self, now, proxy, serial, took):
         if any(entry[0] == serial for entry in self.out):
-            while self.out[0][0] != serial:       # the channel is one queue: what came before has left it too
-                self.waiting -= sum(self.out.popleft()[1].values())
-            self.waiting -= self.out[0][1].pop(proxy, 0)
+            for number, lines, _ in self.out:     # what this proxy was sent before has left too; others' may wait
+                self.waiting -= lines.pop(proxy, 0)
+                if number == serial:
+                    break
+            while self.out and not self.out[0][1]:
+                self.out.popleft()
             self._bind_next(now)
 
     # ---- slices
@@ -550,9 +554,9 @@
                 break
 
     def _bind(self, now, proxy):
-        # Shut-outs may leave a joiner with nothing: who waits long may use the whole channel, as rule lines do.
+        # Shut-outs may leave a joiner with nothing: who waits long goes before all but rule lines.
         since = self.unbound.get(proxy, (0, now))[1]
-        part = min(1, BIND_PART + (now - since) / self.settings.get("empty_limit", SECOND))
+        part = min(BIND_LATE, BIND_PART + (now - since) / self.settings.get("empty_limit", SECOND))
         zone, bound, _ = self.proxies[proxy]
         rest = (1 << len(self.classes)) - 1 - self.own if self.own else 0
         for own, classes in ((False, rest), (True, self.own)):
