--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -29,7 +29,6 @@
 CALL_AGAIN = SECOND     # ns before a failed list call is made again: under a tenth of the time allowed for it
 MESSAGE_ROOM = 1.25     # times the shortest gap that keeps the messages to a proxy under their cap
 RECENT = 0.1            # part of the fleet sums that each look carries on: late as they are, no lag is added
-STRAINED_ERRORS = 0.15  # share failing at the middle server that means the whole fleet fails, not a few
 CALM_ERRORS = 0.05      # share failing at the middle server under which further tries find a healthy one
 FAILING = 0.4           # share failing at one server, the others calm, that makes a second try worth its work
 STRAINED_BUSY = 0.8     # part busy of the middle server, where told, under which slow answers are no overload
@@ -222,7 +221,7 @@
             done = sum(rec.done for rec in heard)
             promised = min((kind["promised_time"] for kind in self.classes), default=SECOND)
             busy = self._middle([(rec.busy, rec.tried) for rec in heard if rec.busy is not None] or [(1, 1)])
-            slow = errors > STRAINED_ERRORS or mean > STRAINED_TIME * promised
+            slow = mean > STRAINED_TIME * promised
             self.strained = slow and busy > STRAINED_BUSY
             calm = errors < CALM_ERRORS and mean < CALM_TIME * promised
             self.failing = calm and any(rec.tried >= HEARD_LEAST and rec.missed > FAILING * rec.tried
