--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -34,6 +34,7 @@
 STRAINED_BUSY = 0.8     # part busy of the middle server, where told, under which slow answers are no overload
 STRAINED_TIME = 0.65    # part of the shortest promised time: a mean above it means many answers come too late
 CALM_TIME = 0.5         # part of the shortest promised time: below it there is room to spare
+USUAL = 0.2             # part a look by which the share answered without strain follows: a few seconds
 SHED_KEEP = 0.95        # part of the answered rate that is let in while strained: lets queues run down
 SHED_STEP = 0.95        # factor a look while the strain lasts: the reports are two to three looks late
 SHED_BACK = 1.08        # factor a look without strain: the less is refused, the less is asked again
@@ -100,7 +101,7 @@
         self.credit = 5 * settings.get("lines_per_s", 1e9)
         self.lines, self.users = {}, {}  # lines for ordinary changes; table -> lines, users
         self.listed_once, self.failing, self.strained = False, False, False
-        self.through = 1.0                        # share of all tries that is answered lately
+        self.through = self.usual = 1.0           # share of all tries that is answered lately; while no strain
         self.room, self.asked = 1.0, {}           # share of work let in; class name -> transactions lately
         for zone in settings.get("zones") or []:
             self._table(zone)
@@ -228,6 +229,8 @@
                                         for rec in self.backends.values())
             tries = sum(rec.tried for rec in heard)
             self.through = 1 - sum(rec.missed for rec in heard) / tries
+            if not self.strained:
+                self.usual += USUAL * (self.through - self.usual)
             self._shed(done)
         for rec in self.backends.values():
             rec.tried, rec.missed = rec.tried * RECENT, rec.missed * RECENT
@@ -247,7 +250,7 @@
         """How much work is let in: what is answered while the whole fleet strains, more as it eases."""
         asked = sum(self.asked.values())
         if self.strained and asked > 0:
-            self.room = max(SHED_LEAST, min(self.room * SHED_STEP, SHED_KEEP * done / asked))
+            self.room = max(SHED_LEAST, min(self.room * SHED_STEP, SHED_KEEP * done / (asked * max(self.usual, SHED_LEAST))))
         elif not self.strained:
             self.room = min(1.0, self.room * SHED_BACK)
 
