--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -51,7 +51,7 @@
 ORDINARY = 0.3          # part of the channel's pace that ordinary changes may use: orders have a price
 HEADS = 0.15            # part of the channel's pace that heads of messages may take: sets the gap between flushes
 BIND_PART = 0.3         # part of the queue that binds may fill: learnt weights go first, and cost less before them
-BIND_LATE = 0.6         # part that the binds of those may fill who wait long: more than moves, less than drains need
+BIND_LATE = 0.45        # part that the binds of those may fill who wait long: more than moves, less than drains need
 MARK_LOST = 8           # times the told pace that the whole channel may be slower; marks later than that are lost
 
 
@@ -97,7 +97,8 @@
         self.own = sum(1 << k for k, kind in enumerate(self.classes) if kind.get("own_zone_only"))
         self.levels = {}                          # table -> {class position: (share, retries)} as sent
         self.out, self.serial, self.waiting = deque(), 0, 0  # messages not known to have left the channel; lines
-        self.next_flush, self.next_alarm, self.flush_due, self.ordinary_due = 0, 0, False, False
+        self.flushed_at, self.next_flush, self.next_alarm, self.flush_due, self.ordinary_due = None, 0, 0, False, False
+        self.short, self.shut_at = False, 0       # a rule line waits for room; when all was shut out for joiners
         self.credit = 5 * settings.get("lines_per_s", 1e9)
         self.lines, self.users = {}, {}  # lines for ordinary changes; table -> lines, users
         self.listed_once, self.failing, self.strained = False, False, False
@@ -366,9 +367,9 @@
         self.left(now, proxy)
         self.proxies[proxy] = zone, set(), rate
         self._table(zone)
-        for rec in self.backends.values():
-            rec.sent.pop("out", None)             # what was shut out before did not reach this one
         if self.settings.get("slices"):
+            for rec in self.backends.values():
+                rec.sent.pop("out", None)         # what was shut out before did not reach this one
             return self._flush(now)
         held = self.settings.get("standing_lines", 0) if standing else len(self.backends)
         self.unbound[proxy] = held, now           # lines of others that it may hold; since when
@@ -453,12 +454,14 @@
     def _flush(self, now, only=None):
         """Sends what differs from the wanted tables, of one backend or of all: what a rule needs first, then what
         moves most. Only that may use the second half of the channel; ordinary changes keep a pace of their own."""
-        if now < self.next_flush:
+        merging = now == self.flushed_at          # one reply, one message: more of it costs no head
+        if now < self.next_flush and not merging:
             return self._flush_at(self.next_flush, now)
         if self.settings.get("slices"):
             return self._keep_slices(now)
         before, moves, touched, left = self.serial, [], set(), False
-        held = now < self.next_alarm and not (self.out and self.out[-1][2] == now)
+        held = now < self.next_alarm and not merging
+        self.short = self.short and bool(only)
         self._shut_out(now)
         self.bare = not any(rec.phase == "ready" and rec.proven for rec in self.backends.values())
         for (zone, own), table in self.tables.items():
@@ -466,9 +469,9 @@
                 want, sent = self._want(now, rec, zone, own), rec.sent.get(table, 0.0)
                 if want == sent:
                     continue
-                less, moved = want < sent * (1 - RESEND), abs(want - sent)
+                less, moved = want < sent * (1 - RESEND), abs(want - sent) if sent else rec.listed
                 if rec.phase != "ready" or not self.lines[table]:
-                    moves.append((0, -moved, rec.id, table, want))
+                    moves.append((0, table, rec.id, table, want))
                 elif held:
                     self._flush_at(self.next_alarm, now)
                 elif want == 0 or sent == 0 or less and (self._cold(now, rec) or rec.link(zone).cut_at is not None):
@@ -482,6 +485,7 @@
             cost = len(users) * (1 if table in touched else 2 + self.settings.get("message_head", 0))
             if cost > (self._room(1), self._room(0.5), min(self._room(0.5), self.credit))[urgency]:
                 left = left or self.credit > cost
+                self.short = self.short or not urgency  # nothing else may use what frees until this fits
                 continue
             self.credit -= cost * (urgency == 2)
             touched.add(table)
@@ -495,6 +499,8 @@
             for (_, own), table in self.tables.items():
                 if self._room(0.5) > 0:
                     self._levels(now, table, self.users[table], own, shares)
+        if self.serial != before:
+            self.flushed_at = now
         if self.serial != before and self.settings.get("messages_limit"):
             span = self.settings.get("messages_span", 10 * SECOND)
             self.next_flush = now + int(MESSAGE_ROOM * span / self.settings["messages_limit"])
@@ -504,6 +510,8 @@
             self.next_alarm = now + (gap // 4 if left else gap)
             if left:
                 self._flush_at(self.next_alarm, now)
+        if self.short:
+            self._flush_at(self.next_flush or now + PERIOD // 4, now)
         self._bind_next(now)
 
     def _flush_at(self, when, now):
@@ -514,15 +522,23 @@
     def _shut_out(self, now):
         """Proxies not bound yet go on with tables of others: what drains or is gone is shut out of those too, all
         at once and when its lines have left the tables here, so that it costs at those proxies alone."""
+        # What was shut out before did not reach those who joined since: once more for all of them, well in the grace.
+        late = [since for _, since in self.unbound.values() if since >= self.shut_at]
+        if late and now - min(late) >= self.settings.get("drain_grace", SECOND) / 3:
+            self.shut_at = now
+            for rec in self.backends.values():
+                rec.sent.pop("out", None)
         turned = [rec for rec in self.backends.values() if not any(rec.sent.get(t) for t in self.users)
                   and rec.sent.get("out", False) != (rec.phase != "ready" and bool(self.unbound))]
-        cost = {proxy: min(held, len(turned)) for proxy, (held, _) in self.unbound.items()}
-        if turned and sum(cost.values()) + len(cost) * (1 + self.settings.get("message_head", 0)) <= self._room(1):
-            for rec in turned:
-                rec.sent["out"] = not rec.sent.get("out", False)
-                self.host.withdraw(rec.id, rec.sent["out"])
-            for proxy, lines in cost.items():
-                self._count(now, proxy, lines)
+        heads = len(self.unbound) * (1 + self.settings.get("message_head", 0))
+        while turned and heads + sum(min(held, len(turned)) for held, _ in self.unbound.values()) > self._room(1):
+            turned.pop()
+            self.short = True
+        for rec in turned:
+            rec.sent["out"] = not rec.sent.get("out", False)
+            self.host.withdraw(rec.id, rec.sent["out"])
+        for proxy, (held, _) in self.unbound.items() if turned else ():
+            self._count(now, proxy, min(held, len(turned)))
 
     def _room(self, part):
         """Lines that may still be put into the channel up to a part of its limit."""
@@ -566,7 +582,7 @@
             if table in bound or not self.lines.get(table):  # an empty table is worse than what the proxy holds
                 continue
             cost = 1 + self.lines[table] + len(self.levels.get(table, ()))
-            if cost + 1 + self.settings.get("message_head", 0) > self._room(part) and self.waiting > 0:
+            if self.short or cost + 1 + self.settings.get("message_head", 0) > self._room(part) and self.waiting > 0:
                 return False
             bound.add(table)
             self.users[table][proxy] = None
