--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -78,7 +78,7 @@
         self.ramp_from = self.busy = None
         self.links, self.sent = {}, {}
         self.tried = self.missed = self.done = self.spent = 0.0
-        self.probed_at, self.missing, self.gone_at = None, False, 0  # missing: serves, but the list calls it gone
+        self.probed_at, self.missing, self.gone_at = None, False, None  # missing: serves, but the list calls it gone
         self.proven = True                        # has answered, or stood in the first list
 
     def link(self, zone):
@@ -132,12 +132,13 @@
         rec = self.backends.get(backend)
         if rec is None:
             rec = self.backends[backend] = Backend(backend)
+            rec.gone_at = now if self.listed_once else None  # a former life shut out what its last list tells of
         # Where only a drain binds, a list that drops a server is checked by a probe: it may be an old or a wrong
         # one. Harm: one that died is kept until the probe, or the reports, tell.
         rec.missing = bool(phase == "gone" and rec.phase == "ready" and self.settings.get("drain_needs_entry"))
         if rec.missing:
             return self._probe(now, rec, True)
-        if phase == "gone":
+        if phase != "ready" and rec.phase == "ready":
             rec.gone_at = now
         fresh = phase == "ready" and (rec.phase != "ready" or started > rec.started)
         if fresh:
@@ -174,7 +175,7 @@
 
     def _round(self, now):
         for rec in [r for r in self.backends.values() if r.phase == "gone" and not any(r.sent.values())
-                    and now - r.gone_at > LOWEST_SPAN]:
+                    and now - (r.gone_at or 0) > LOWEST_SPAN]:
             del self.backends[rec.id]
         for zone in {zone: None for zone, _ in self.tables}:
             costs, kinds = [], {}
@@ -529,7 +530,7 @@
             for rec in self.backends.values():
                 rec.sent.pop("out", None)
         turned = [rec for rec in self.backends.values() if not any(rec.sent.get(t) for t in self.users)
-                  and rec.sent.get("out", False) != (rec.phase != "ready" and bool(self.unbound))]
+                  and rec.sent.get("out", False) != (rec.phase != "ready" and bool(self.unbound) and rec.gone_at is not None)]
         heads = len(self.unbound) * (1 + self.settings.get("message_head", 0))
         while turned and heads + sum(min(held, len(turned)) for held, _ in self.unbound.values()) > self._room(1):
             turned.pop()
