--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -2,10 +2,9 @@
 
 The adapter makes Planner(host, now, seed, settings) when an instance starts, then calls one method for each
 thing that happens, with the batch clock `now` in whole nanoseconds; the planner acts by calling the host at
-once. The host's calls and the settings' names stand in granitespool/host.py, the mechanism in docs/design.md.
-"""
+once. The host's calls and settings' names stand in granitespool/host.py, the mechanism in docs/design.md."""
 import math
-from collections import deque
+from collections import Counter, defaultdict, deque
 from random import Random
 
 SECOND = 1_000_000_000  # ns
@@ -25,61 +24,46 @@
 CUT_SHARE = 3           # at most one in this many listed ready servers is cut from a table: the design page's
 LAST_RESORT = 0.02      # part of its weight that a server past the cap on cuts keeps: some tries to hear it
 UNHEARD_PERIODS = 2     # periods that a cut server stays unheard before it comes back: the design page's
-PACE = SECOND           # ns between looks at load and at cut servers: the period of the reports
-CALL_AGAIN = SECOND     # ns before a failed list call is made again: under a tenth of the time allowed for it
 MESSAGE_ROOM = 1.25     # times the shortest gap that keeps the messages to a proxy under their cap
 RECENT = 0.1            # part of the fleet sums that each look carries on: late as they are, no lag is added
 CALM_ERRORS = 0.05      # share failing at the middle server under which further tries find a healthy one
 FAILING = 0.4           # share failing at one server, the others calm, that makes a second try worth its work
-STRAINED_BUSY = 0.8     # part busy of the middle server, where told, under which slow answers are no overload
 STRAINED_TIME = 0.65    # part of the shortest promised time: a mean above it means many answers come too late
 CALM_TIME = 0.5         # part of the shortest promised time: below it there is room to spare
-USUAL = 0.2             # part a look by which the share answered without strain follows: a few seconds
-SHED_KEEP = 0.95        # part of the answered rate that is let in while strained: lets queues run down
-SHED_STEP = 0.95        # factor a look while the strain lasts: the reports are two to three looks late
+SHED_STEP = 0.95        # factor a look while the strain lasts, of what is let in and of what is answered
 SHED_BACK = 1.08        # factor a look without strain: the less is refused, the less is asked again
 SHED_LEAST = 0.2        # share of the work that is always let in: what is heard must not run dry
 SHED_FLOOR = 0.1        # share of each class let in however low its benefit: the worst class counts too
-SHED_MOVE = 0.03        # move of a level that is worth a message
-PROBE_GAP = SECOND      # ns between probes of one server: each costs it some milliseconds of work
-STORM = 0.5             # share of tries answered under which a young cold server waits
+SHED_MOVE = 0.03        # step of a level that is worth a message
 START_THROUGH = 0.3     # share of tries taken as answered by who starts among cold servers: a storm may be on
-YOUNG = 0.5             # part of the warm-up in which it does: about half of its capacity is there then
 LEAST_WEIGHT = 0.0001   # what rounding leaves of a weight above 0: a line must not vanish by it
 NO_LIMIT = 1e6          # transactions a second at a proxy that stand for letting in all
 SERIALS = 65536         # marks are whole numbers under this
 ORDINARY = 0.3          # part of the channel's pace that ordinary changes may use: orders have a price
-HEADS = 0.15            # part of the channel's pace that heads of messages may take: sets the gap between flushes
-BIND_PART = 0.3         # part of the queue that binds may fill: learnt weights go first, and cost less before them
-BIND_LATE = 0.45        # part that the binds of those may fill who wait long: more than moves, less than drains need
-MARK_LOST = 8           # times the told pace that the whole channel may be slower; marks later than that are lost
+HEADS = 0.15            # part of the channel's pace for heads of messages: sets the gap between flushes
+BIND_PART = 0.3         # part of the queue that binds may fill: learnt weights go first, and cost less before
+BIND_LATE = 0.45        # part that the binds of those fill who wait long: drains need the rest
+MARK_LOST = 16 * SECOND  # ns after which a mark is lost: a full queue of two seconds, eight times slowed
+SAVED = 5               # s of the channel's pace that ordinary changes may save up: the design page's period
 
 
-class Link:
-    """What the proxies of one zone met at a backend, and what that makes of it."""
-    __slots__ = ("tries", "failed", "answered", "time", "lows", "over", "streak", "cut_at", "spare",
-                 "ramp_from", "cost", "heard")
 
+class Link:  # what the proxies of one zone met at a backend, and what that makes of it
     def __init__(self):
         self.tries = self.failed = self.answered = self.time = 0.0
         self.lows = deque()
         self.over = self.streak = 0               # reports running over; tries running that failed
         self.cut_at, self.spare = None, False     # cut when; only down to a last resort
-        self.ramp_from = self.cost = None
+        self.ramp_from, self.cost, self.heard = None, None, 0.0
 
 
-class Backend:
-    """The one record of a backend."""
-    __slots__ = ("id", "zone", "kind", "phase", "listed", "started", "ramp_from", "busy", "links", "sent",
-                 "tried", "missed", "done", "spent", "probed_at", "missing", "proven", "gone_at")
-
+class Backend:  # the one record of a backend
     def __init__(self, backend):
-        self.id, self.zone, self.kind, self.phase, self.listed, self.started = backend, None, None, "gone", 1.0, 0
-        self.ramp_from = self.busy = None
+        self.id, self.zone, self.kind, self.phase = backend, None, None, "gone"
+        self.listed, self.started, self.ramp_from, self.probed_at = 1.0, 0, None, -PERIOD
         self.links, self.sent = {}, {}
         self.tried = self.missed = self.done = self.spent = 0.0
-        self.probed_at, self.missing, self.gone_at = None, False, None  # missing: serves, but the list calls it gone
-        self.proven = True                        # has answered, or stood in the first list
+        self.missing, self.proven, self.gone_at = False, True, None  # gone by the list alone; answers; when
 
     def link(self, zone):
         return self.links.get(zone) or self.links.setdefault(zone, Link())
@@ -90,41 +74,32 @@
         self.host, self.settings = host, settings
         self.jitter = Random(seed).uniform
         self.backends, self.proxies = {}, {}      # id -> Backend; id -> (zone, tables bound to, rate)
-        self.unbound = {}                         # proxies that still wait for a table of this planner
-        self.tables, self.average = {}, {}        # (zone, only its servers) -> table; zone -> cost, ns
-        self.slices, self.moving = {}, {}         # slice in charge -> its lines; -> (free from, mark)
+        self.unbound = {}                         # proxy yet to be bound -> (others' lines it holds, since)
+        self.tables = {zone: k for k, zone in enumerate(settings.get("zones") or [])}  # zone -> its table
+        self.average = {}                         # zone -> average cost, ns
+        self.lines, self.users = Counter(), defaultdict(dict)  # table -> its lines; proxies bound to it
+        self.levels, self.slices = defaultdict(dict), {}  # table -> {class: as sent}; slice held -> lines
         self.classes = [{"promised_time": SECOND, "benefit": 1, **c} for c in settings.get("classes") or []]
-        self.own = sum(1 << k for k, kind in enumerate(self.classes) if kind.get("own_zone_only"))
-        self.levels = {}                          # table -> {class position: (share, retries)} as sent
-        self.out, self.serial, self.waiting = deque(), 0, 0  # messages not known to have left the channel; lines
-        self.flushed_at, self.next_flush, self.next_alarm, self.flush_due, self.ordinary_due = None, 0, 0, False, False
-        self.short, self.shut_at = False, 0       # a rule line waits for room; when all was shut out for joiners
-        self.credit = 5 * settings.get("lines_per_s", 1e9)
-        self.lines, self.users = {}, {}  # lines for ordinary changes; table -> lines, users
-        self.listed_once, self.failing, self.strained = False, False, False
-        self.through = self.usual = 1.0           # share of all tries that is answered lately; while no strain
+        self.out, self.serial, self.waiting = deque(), 0, 0  # messages perhaps still in the channel; lines
+        self.flushed_at, self.next_flush, self.next_alarm, self.flush_due = None, 0, 0, False
+        self.short, self.shut_at = False, 0       # a rule line waits for room; last shut-out for joiners
+        self.credit = SAVED * settings.get("lines_per_s", 1e9)  # lines for ordinary changes
+        self.listed_once = self.failing = self.strained = self.bare = False
+        self.through = 1.0                        # share of tries answered lately
         self.room, self.asked = 1.0, {}           # share of work let in; class name -> transactions lately
-        for zone in settings.get("zones") or []:
-            self._table(zone)
         if settings.get("subscribe"):
             host.observe(True)
         host.wake(PERIOD, "round")
-        host.wake(PACE, "pace")
-
-    # ---- the list
 
     def list_news(self, now, form, entries):
         if form == "failed":
-            self.host.wake(int(CALL_AGAIN * self.jitter(0.5, 1.5)), "observe")
-            return
-        seen = set()
+            return self.host.wake(int(PERIOD * self.jitter(0.5, 1.5)), "observe")
         for entry in entries:
             self._entry(now, **entry)
-            seen.add(entry["backend"])
-        if form != "changes":
-            for rec in self.backends.values():
-                if rec.id not in seen:
-                    self._entry(now, rec.id, rec.zone, rec.kind, None, "gone", rec.listed, 0)
+        seen = {entry["backend"] for entry in entries}
+        for rec in self.backends.values() if form != "changes" else ():
+            if rec.id not in seen:
+                self._entry(now, rec.id, rec.zone, rec.kind, None, "gone", rec.listed, 0)
         self.listed_once = True
         self._flush(now)
 
@@ -132,41 +107,32 @@
         rec = self.backends.get(backend)
         if rec is None:
             rec = self.backends[backend] = Backend(backend)
-            rec.gone_at = now if self.listed_once else None  # a former life shut out what its last list tells of
-        # Where only a drain binds, a list that drops a server is checked by a probe: it may be an old or a wrong
-        # one. Harm: one that died is kept until the probe, or the reports, tell.
-        rec.missing = bool(phase == "gone" and rec.phase == "ready" and self.settings.get("drain_needs_entry"))
+            rec.gone_at = now if self.listed_once else None  # a former life shut out what its last list told
+        # Where only a drain binds, a probe checks a list that drops a server: it may be old or wrong. Harm:
+        # one that died is kept until the probe, or the reports, tell.
+        rec.missing = phase == "gone" and rec.phase == "ready" and self.settings.get("drain_needs_entry")
         if rec.missing:
             return self._probe(now, rec, True)
         if phase != "ready" and rec.phase == "ready":
             rec.gone_at = now
-        fresh = phase == "ready" and (rec.phase != "ready" or started > rec.started)
-        if fresh:
-            # A list may name what is not there: who is new earns its ramp by an answer, where probes can tell.
-            # Harm: half a second for each new server, more where only the probes' way is bad.
+        if phase == "ready" and (rec.phase != "ready" or started > rec.started):
+            # A list may name what is not there: who is new earns its ramp by an answer, where probes tell. In
+            # the first list only those still cold are new; they start over: a storm may be on, levels lost.
+            cold = started and now - started < self.settings.get("cold_time", 0)
+            rec.links.clear()
+            rec.ramp_from = now if self.listed_once or cold else None
             rec.proven = not (self.listed_once and self.settings.get("probes"))
             if not rec.proven:
                 self._probe(now, rec, True)
-            rec.links.clear()
-            rec.busy = None
-            # At an instance's start nothing is heard of anyone: only those still cold are new, or a cold one
-            # would get as much as the rest. They start over too: levels were lost, a storm may be on.
-            cold = started and now - started < self.settings.get("cold_time", 0)
-            rec.ramp_from = now if self.listed_once or cold else None
             if cold and not self.listed_once:
                 self.through = START_THROUGH
         rec.zone, rec.kind, rec.phase, rec.started = zone, kind, phase, max(started, rec.started)
         rec.listed = weight if weight > 0 else 1.0
 
-    # ---- time
-
     def timer(self, now, cookie):
         if cookie == "round":
             self.host.wake(PERIOD, "round")
             self._round(now)
-        elif cookie == "pace":
-            self.host.wake(PACE, "pace")
-            self._pace(now)
         elif cookie == "flush":
             self.flush_due = False
             self._flush(now)
@@ -174,28 +140,39 @@
             self.host.observe(True)
 
     def _round(self, now):
-        for rec in [r for r in self.backends.values() if r.phase == "gone" and not any(r.sent.values())
-                    and now - (r.gone_at or 0) > LOWEST_SPAN]:
-            del self.backends[rec.id]
-        for zone in {zone: None for zone, _ in self.tables}:
-            costs, kinds = [], {}
+        for zone in self.tables:
+            kinds = defaultdict(list)
             for rec in self.backends.values():
                 link = rec.link(zone)
                 link.cost = self._cost(now, rec, link)
                 if link.cost is not None and rec.phase == "ready" and link.cut_at is None:
-                    costs.append(link.cost)
-                    kinds.setdefault(rec.kind, []).append(link.cost)
+                    kinds[rec.kind].append(link.cost)
                 link.heard = link.answered if link.cost else 0.0
                 link.tries, link.failed = link.tries * KEEP, link.failed * KEEP
                 link.answered, link.time = link.answered * KEEP, link.time * KEEP
+            costs = sum(kinds.values(), [])
             self.average[zone] = sum(costs) / len(costs) if costs else None
             for rec in self.backends.values():
                 link, like = rec.link(zone), kinds.get(rec.kind)
                 if like:
-                    link.cost = ((link.cost or 0) * link.heard + sum(like) / len(like) * PRIOR) / (link.heard + PRIOR)
+                    cost = (link.cost or 0) * link.heard + sum(like) / len(like) * PRIOR
+                    link.cost = cost / (link.heard + PRIOR)
         pace = self.settings.get("lines_per_s", 1e9)
-        self.credit = min(self.credit + ORDINARY * pace * PERIOD / SECOND, 5 * pace)
-        self.ordinary_due = True
+        self.credit = min(self.credit + ORDINARY * pace * PERIOD / SECOND, SAVED * pace)
+        self._strain()
+        for rec in list(self.backends.values()):
+            if rec.phase == "ready" and not rec.proven:
+                self._probe(now, rec)
+            for zone, link in rec.links.items():
+                if link.cut_at is not None:
+                    self._probe(now, rec)
+                    if not link.spare and now - link.cut_at >= UNHEARD_PERIODS * PERIOD:
+                        rec.links[zone] = Link()
+                        rec.links[zone].ramp_from = now
+            if rec.phase == "gone" and not any(rec.sent.values()) and now - (rec.gone_at or 0) > LOWEST_SPAN:
+                del self.backends[rec.id]
+        while self.out and (not self.out[0][1] or now - self.out[0][2] > MARK_LOST):
+            self.waiting -= sum(self.out.popleft()[1].values())
         self._flush(now)
 
     def _cost(self, now, rec, link):
@@ -216,87 +193,55 @@
         return 100 * max(0.0, rtt - lowest) / rtt
 
     def _strain(self):
-        """Tells trouble of the whole fleet from trouble of a few servers, by the server of the middle try."""
+        """Tells trouble of the fleet from that of a few servers, by the server of the middle try. Failures
+        alone are no strain: answers may be lost, links bad; in an overload what comes is slow too."""
         heard = [rec for rec in self.backends.values() if rec.tried >= 1]
+        tries, asked = sum(rec.tried for rec in heard), sum(self.asked.values())
         if heard:
             errors = self._middle([(rec.missed / rec.tried, rec.tried) for rec in heard])
             mean = self._middle([(rec.spent / rec.done, rec.done) for rec in heard if rec.done])
-            done = sum(rec.done for rec in heard)
             promised = min((kind["promised_time"] for kind in self.classes), default=SECOND)
-            busy = self._middle([(rec.busy, rec.tried) for rec in heard if rec.busy is not None] or [(1, 1)])
-            slow = mean > STRAINED_TIME * promised
-            self.strained = slow and busy > STRAINED_BUSY
-            calm = errors < CALM_ERRORS and mean < CALM_TIME * promised
-            self.failing = calm and any(rec.tried >= HEARD_LEAST and rec.missed > FAILING * rec.tried
-                                        for rec in self.backends.values())
-            tries = sum(rec.tried for rec in heard)
+            self.strained = mean > STRAINED_TIME * promised
+            self.failing = errors < CALM_ERRORS and mean < CALM_TIME * promised and any(
+                rec.tried >= HEARD_LEAST and rec.missed > FAILING * rec.tried for rec in heard)
             self.through = 1 - sum(rec.missed for rec in heard) / tries
-            if not self.strained:
-                self.usual += USUAL * (self.through - self.usual)
-            self._shed(done)
+            if not self.strained:                 # more is let in as the strain eases
+                self.room = min(1.0, self.room * SHED_BACK)
+            elif asked > 0:                       # what is answered is let in, as are losses of other kinds
+                done = sum(rec.done for rec in heard)
+                self.room = max(SHED_LEAST, min(self.room * SHED_STEP, SHED_STEP * done / asked))
         for rec in self.backends.values():
             rec.tried, rec.missed = rec.tried * RECENT, rec.missed * RECENT
             rec.done, rec.spent = rec.done * RECENT, rec.spent * RECENT
-        for name in self.asked:
-            self.asked[name] *= RECENT
+        self.asked = {name: number * RECENT for name, number in self.asked.items()}
 
     def _middle(self, pairs):
-        half, value = sum(weight for _, weight in pairs) / 2, 0.0
+        half = sum(weight for _, weight in pairs) / 2
         for value, weight in sorted(pairs):
             half -= weight
             if half <= 0:
-                break
-        return value
-
-    def _shed(self, done):
-        """How much work is let in: what is answered while the whole fleet strains, more as it eases."""
-        asked = sum(self.asked.values())
-        if self.strained and asked > 0:
-            self.room = max(SHED_LEAST, min(self.room * SHED_STEP, SHED_KEEP * done / (asked * max(self.usual, SHED_LEAST))))
-        elif not self.strained:
-            self.room = min(1.0, self.room * SHED_BACK)
+                return value
+        return 0.0
 
     def _shares(self):
         """The share let in of each class: least benefit per work goes first, by promised time for work."""
-        classes = self.classes
-        work = [self.asked.get(kind.get("name"), 0) * kind["promised_time"] for kind in classes]
-        room, shares = self.room * sum(work), [1.0] * len(classes)
-        if self.room >= 1 or not room or self.settings.get("admission") not in ("fraction", "per_second"):
-            return shares
-        room -= SHED_FLOOR * sum(work)
-        value = [kind["benefit"] / (kind["promised_time"] or 1) for kind in classes]
-        for k in sorted(range(len(classes)), key=lambda k: -value[k]):
-            given = max(0.0, min(room, (1 - SHED_FLOOR) * work[k]))
-            room -= given
-            shares[k] = round(SHED_FLOOR + given / work[k], 3) if work[k] else 1.0
+        work = [self.asked.get(kind.get("name"), 0) * kind["promised_time"] for kind in self.classes]
+        shares, room = [1.0] * len(work), (self.room - SHED_FLOOR) * sum(work)
+        if self.room < 1 and sum(work) and self.settings.get("admission") in ("fraction", "per_second"):
+            for k, kind in sorted(enumerate(self.classes), key=lambda each: (
+                    -each[1]["benefit"] / (each[1]["promised_time"] or 1), each[0])):
+                given = max(0.0, min(room, (1 - SHED_FLOOR) * work[k]))
+                room -= given
+                share = SHED_FLOOR + given / work[k] if work[k] else 1.0
+                shares[k] = round(round(share / SHED_MOVE) * SHED_MOVE, 3) if share < 1 else 1.0
         return shares
 
-    def _pace(self, now):
-        self._strain()
-        for rec in self.backends.values():
-            if rec.phase == "ready" and not rec.proven:
-                self._probe(now, rec)
-            for zone, link in rec.links.items():
-                if link.cut_at is None:
-                    continue
-                self._probe(now, rec)
-                if not link.spare and now - link.cut_at >= UNHEARD_PERIODS * PERIOD:
-                    rec.links[zone] = Link()
-                    rec.links[zone].ramp_from = now
-        lost_after = MARK_LOST * SECOND * self.settings.get("backlog_limit", 0) / self.settings.get("lines_per_s", 1)
-        while self.out and now - self.out[0][2] > max(lost_after, 2 * MARK_LOST * SECOND):
-            self.waiting -= sum(self.out.popleft()[1].values())
-        self._flush(now)
-
-    # ---- what is heard
-
     def heard(self, now, zone, backend, tries, failed, mean, window, load):
         rec = self.backends.get(backend)
         if rec is None or tries <= 0:
             return
-        self._table(zone)
+        self.tables.setdefault(zone, len(self.tables))
         link = rec.link(zone)
-        rec.busy = load.get("busy", rec.busy)
         answered = max(0, tries - failed) if mean > 0 else 0
         if answered:
             self._prove(now, rec)
@@ -304,12 +249,11 @@
         link.answered, link.time = link.answered + answered, link.time + answered * mean
         rec.tried, rec.missed = rec.tried + tries, rec.missed + min(failed, tries)
         rec.done, rec.spent = rec.done + answered, rec.spent + answered * mean
-        # A report of failures alone is an alarm like u over 80%, once enough tries stand behind it: for quick
-        # errors, hangs, silence, a cut link. u is none while the fleet strains: a cut would only move load.
+        # Failures alone are an alarm like u over 80%, once enough tries stand behind it: for quick errors,
+        # hangs, silence, a cut link. u is none while the fleet strains: a cut would only move load.
         link.streak = 0 if failed < tries else link.streak + tries
-        eased = not self.strained and self.room >= 1
-        over = failed >= tries or bool(
-            answered and eased and self._utilization(link, link.time / link.answered) > BETA)
+        eased = answered and not self.strained and self.room >= 1
+        over = failed >= tries or eased and self._utilization(link, link.time / link.answered) > BETA
         link.over = link.over + 1 if over else 0
         if link.cut_at is not None and not over:
             link.cut_at, link.ramp_from = None, now
@@ -321,8 +265,8 @@
             self._probe(now, rec)
 
     def _cut(self, now, zone, link):
-        # Past the cap a server stays as a last resort: a zone cut off fails more than a third at once, and a
-        # few tries tell when it heals. Should all fail alike, all weights fall alike and the table is whole.
+        # Past the cap a server stays as a last resort: a few tries tell when it heals, and should all fail
+        # alike all weights fall alike and the table is whole.
         ready = [rec.link(zone) for rec in self.backends.values() if rec.phase == "ready"]
         out = sum(1 for each in ready if each.cut_at is not None and not each.spare)
         link.spare, link.cut_at = (out + 1) * CUT_SHARE > len(ready), now
@@ -333,7 +277,7 @@
             self._flush(now, rec)
 
     def _probe(self, now, rec, at_once=False):
-        if self.settings.get("probes") and (at_once or rec.probed_at is None or now - rec.probed_at >= PROBE_GAP):
+        if self.settings.get("probes") and (at_once or now - rec.probed_at >= PERIOD):
             rec.probed_at = now
             self.host.probe(rec.id)
 
@@ -342,8 +286,10 @@
         rec = self.backends.get(backend)
         if rec and status in ("ok", "full"):
             self._prove(now, rec)
-        if rec is None or status not in ("timeout", "unreachable", "reset") or self.strained:
-            return
+        elif rec and status != "error" and not self.strained:
+            self._silent(now, rec, status == "timeout")
+
+    def _silent(self, now, rec, late):
         if rec.missing:
             rec.missing, rec.phase, rec.gone_at = False, "gone", now
         for zone, link in rec.links.items():
@@ -351,7 +297,7 @@
                 link.cut_at = now
             elif link.streak:
                 # A probe may wait in the queue like a transaction: late, it is worth a few tries and no more.
-                link.streak += LATE_PROBE if status == "timeout" else CUT_TRIES
+                link.streak += LATE_PROBE if late else CUT_TRIES
                 if link.streak >= CUT_TRIES:
                     self._cut(now, zone, link)
         self._flush(now, rec)
@@ -359,22 +305,17 @@
     def arrivals(self, now, proxy, grade, number, unanswered, window):
         self.asked[grade] = self.asked.get(grade, 0) + number
 
-    def peer_said(self, now, peer, contents):
-        pass
-
-    # ---- proxies
-
     def joined(self, now, proxy, zone, standing, rate):
         self.left(now, proxy)
         self.proxies[proxy] = zone, set(), rate
-        self._table(zone)
+        self.tables.setdefault(zone, len(self.tables))
         if self.settings.get("slices"):
             for rec in self.backends.values():
                 rec.sent.pop("out", None)         # what was shut out before did not reach this one
             return self._flush(now)
         held = self.settings.get("standing_lines", 0) if standing else len(self.backends)
-        self.unbound[proxy] = held, now           # lines of others that it may hold; since when
-        if not self.lines.get(self.tables[zone, False]):
+        self.unbound[proxy] = held, now
+        if not self.lines[self.tables[zone]]:
             self._flush(now)
         self._bind(now, proxy)
 
@@ -386,23 +327,16 @@
             self.waiting -= lines.pop(proxy, 0)
 
     def applied(self, now, proxy, serial, took):
-        if any(entry[0] == serial for entry in self.out):
-            for number, lines, _ in self.out:     # what this proxy was sent before has left too; others' may wait
-                self.waiting -= lines.pop(proxy, 0)
+        entries = [entry for entry in self.out if proxy in entry[1]]
+        if serial in [entry[0] for entry in entries]:
+            for number, lines, _ in entries:      # what this proxy was sent before has left; others' may wait
+                self.waiting -= lines.pop(proxy)
                 if number == serial:
                     break
-            while self.out and not self.out[0][1]:
-                self.out.popleft()
             self._bind_next(now)
 
-    # ---- slices
-
-    def slice_load(self, now, table, grade, number, unanswered, window):
-        pass
-
     def slice_given(self, now, table, ours):
         self.slices.pop(table, None)
-        self.moving.pop(table, None)
         if ours:
             self.slices[table] = {}
             self.host.wake(0, "flush")            # its lines come with the same batch
@@ -411,27 +345,18 @@
         if table in self.slices:
             self.slices[table][backend] = weight
 
-    # ---- orders
+    def peer_said(self, now, *words):
+        """Nothing is decided on it, nor on the load of slices: each instance keeps the rules alone."""
 
-    def _cold(self, now, rec, part=1.0):
-        """Is a server within its told warm-up, or within a part of it?"""
-        warm_up = self.settings.get("cold_time", 3 * RAMP_STEP)
-        return rec.ramp_from is not None and now - rec.started < part * warm_up
+    slice_load = peer_said
 
-    def _table(self, zone):
-        for own in (False, True)[:1 + bool(self.own)]:
-            table = self.tables.setdefault((zone, own), len(self.tables))
-            self.users.setdefault(table, {})
-            self.lines.setdefault(table, 0)
+    def _cold(self, now, rec):
+        return rec.ramp_from is not None and now - rec.started < self.settings.get("cold_time", 3 * RAMP_STEP)
 
-    def _want(self, now, rec, zone, own):
-        link = rec.link(zone)
-        if rec.phase != "ready" or own and rec.zone != zone or rec.sent.get("out"):
-            return 0.0
-        if link.cut_at is not None and not (link.spare or own):
-            return 0.0
-        average, part = self.average.get(zone), 1.0
-        if not rec.proven and not self.bare:
+    def _want(self, now, rec, zone):
+        link, average, part = rec.link(zone), self.average.get(zone), 1.0
+        out = link.cut_at is not None and not link.spare or rec.sent.get("out")
+        if out or rec.phase != "ready" or not (rec.proven or self.bare):
             return 0.0
         for since in (rec.ramp_from, link.ramp_from):
             if since is not None:
@@ -442,203 +367,150 @@
             # In a storm of tries a quarter weight is many times a quarter of the work: a cold server gets its
             # part of what is answered. Harm: one that starts into a storm warms with little traffic.
             part *= self.through
-            # Proxies that shun whoever fails them would crowd to one they have not met. Harm: in a jam every
-            # server counts, so one half through its warm-up stays.
-            crowds = self.through < STORM and self.settings.get("avoid_after")
-            if crowds and self._cold(now, rec, YOUNG) and any(
-                    r.phase == "ready" and not self._cold(now, r) for r in self.backends.values()):
-                return 0.0
             average = min(average or 0, link.cost or 0)  # an idle cold server answers fast: no more for that
         cost = average / link.cost if average and link.cost else 1.0
         return max(LEAST_WEIGHT, round(rec.listed * cost * part, 4))
 
     def _flush(self, now, only=None):
-        """Sends what differs from the wanted tables, of one backend or of all: what a rule needs first, then what
-        moves most. Only that may use the second half of the channel; ordinary changes keep a pace of their own."""
+        """Sends what differs from the wanted tables, of one backend or of all. Only what a rule needs may use
+        the second half of the channel; ordinary changes keep a pace of their own."""
         merging = now == self.flushed_at          # one reply, one message: more of it costs no head
         if now < self.next_flush and not merging:
             return self._flush_at(self.next_flush, now)
         if self.settings.get("slices"):
             return self._keep_slices(now)
-        before, moves, touched, left = self.serial, [], set(), False
-        held = now < self.next_alarm and not merging
+        before, touched, held, left = self.serial, set(), now < self.next_alarm and not merging, 1
         self.short = self.short and bool(only)
         self._shut_out(now)
-        self.bare = not any(rec.phase == "ready" and rec.proven for rec in self.backends.values())
-        for (zone, own), table in self.tables.items():
-            for rec in (only,) if only else self.backends.values():
-                want, sent = self._want(now, rec, zone, own), rec.sent.get(table, 0.0)
-                if want == sent:
-                    continue
-                less, moved = want < sent * (1 - RESEND), abs(want - sent) if sent else rec.listed
-                if rec.phase != "ready" or not self.lines[table]:
-                    moves.append((0, table, rec.id, table, want))
-                elif held:
-                    self._flush_at(self.next_alarm, now)
-                elif want == 0 or sent == 0 or less and (self._cold(now, rec) or rec.link(zone).cut_at is not None):
-                    moves.append((1, -moved, rec.id, table, want))
-                elif self.ordinary_due and moved > RESEND * sent:
-                    moves.append((2, -moved, rec.id, table, want))
-        if not only and not held:
-            self.ordinary_due = False
-        for urgency, _, backend, table, want in sorted(moves, key=lambda move: (move[0] > 0, move[1:])):
+        for urgency, _, backend, table, want, ordinary in sorted(self._moves(now, only, held)):
             rec, users = self.backends[backend], self.users[table]
             cost = len(users) * (1 if table in touched else 2 + self.settings.get("message_head", 0))
-            if cost > (self._room(1), self._room(0.5), min(self._room(0.5), self.credit))[urgency]:
-                left = left or self.credit > cost
+            if cost > self._room(0.5 if urgency else 1) or ordinary and cost > self.credit:
                 self.short = self.short or not urgency  # nothing else may use what frees until this fits
+                left = 4 if self.credit > cost else left
                 continue
-            self.credit -= cost * (urgency == 2)
+            self.credit -= cost * ordinary
             touched.add(table)
-            self.host.weigh(table, rec.id, want)
+            self._order(now, users, self.host.weigh, table, rec.id, want)
             self.lines[table] += bool(want) - bool(rec.sent.get(table))
             rec.sent[table] = want
-            self._tell(now, users)
         self._shut_out(now)
-        if not only and not held:
-            shares = self._shares()
-            for (_, own), table in self.tables.items():
-                if self._room(0.5) > 0:
-                    self._levels(now, table, self.users[table], own, shares)
+        shares = self._shares()
+        for table in self.tables.values():
+            if not only and not held and self._room(0.5) > 0:
+                self._levels(now, table, shares)
         if self.serial != before:
-            self.flushed_at = now
-        if self.serial != before and self.settings.get("messages_limit"):
+            self.flushed_at, limit = now, self.settings.get("messages_limit")
             span = self.settings.get("messages_span", 10 * SECOND)
-            self.next_flush = now + int(MESSAGE_ROOM * span / self.settings["messages_limit"])
-        if self.serial != before and not held:
-            heads = len(self.proxies) * (1 + self.settings.get("message_head", 0))
-            gap = int(SECOND * heads / HEADS / self.settings.get("lines_per_s", 1e9))
-            self.next_alarm = now + (gap // 4 if left else gap)
-            if left:
-                self._flush_at(self.next_alarm, now)
+            self.next_flush = now + int(MESSAGE_ROOM * span / limit) if limit else 0
+            if not held:
+                heads = len(self.proxies) * (1 + self.settings.get("message_head", 0)) / HEADS / left
+                self.next_alarm = now + int(SECOND * heads / self.settings.get("lines_per_s", 1e9))
+        if left > 1:
+            self._flush_at(self.next_alarm, now)
         if self.short:
-            self._flush_at(self.next_flush or now + PERIOD // 4, now)
+            self._flush_at(self.next_flush, now)
         self._bind_next(now)
 
+    def _moves(self, now, only, held):
+        """Lines that differ from the wanted tables, ranked: a rule's by table, then by the weight moved."""
+        self.bare = not any(rec.phase == "ready" and rec.proven for rec in self.backends.values())
+        for zone, table in self.tables.items():
+            for rec in (only,) if only else self.backends.values():
+                want, sent = self._want(now, rec, zone), rec.sent.get(table, 0.0)
+                less, moved = want < sent * (1 - RESEND), abs(want - sent)
+                cut = rec.link(zone).cut_at is not None
+                alarm = not want or not sent or less and (cut or self._cold(now, rec))
+                if want != sent and (rec.phase != "ready" or not self.lines[table]):
+                    yield 0, table, rec.id, table, want, False
+                elif want != sent and (alarm or not only and moved > RESEND * sent):
+                    if held:
+                        self._flush_at(self.next_alarm, now)
+                    else:                         # who comes in ranks by what it will carry
+                        yield 1, -(moved if sent else rec.listed), rec.id, table, want, not alarm
+
     def _flush_at(self, when, now):
         if not self.flush_due:
             self.flush_due = True
-            self.host.wake(when - now, "flush")
+            self.host.wake(max(when - now, PERIOD // 4), "flush")
 
     def _shut_out(self, now):
-        """Proxies not bound yet go on with tables of others: what drains or is gone is shut out of those too, all
-        at once and when its lines have left the tables here, so that it costs at those proxies alone."""
-        # What was shut out before did not reach those who joined since: once more for all of them, well in the grace.
+        """Proxies not bound yet go on with tables of others: what drains or is gone is shut out of those too,
+        once its lines have left the tables here; again for who joined since, well within the grace."""
         late = [since for _, since in self.unbound.values() if since >= self.shut_at]
         if late and now - min(late) >= self.settings.get("drain_grace", SECOND) / 3:
             self.shut_at = now
             for rec in self.backends.values():
                 rec.sent.pop("out", None)
-        turned = [rec for rec in self.backends.values() if not any(rec.sent.get(t) for t in self.users)
-                  and rec.sent.get("out", False) != (rec.phase != "ready" and bool(self.unbound) and rec.gone_at is not None)]
-        heads = len(self.unbound) * (1 + self.settings.get("message_head", 0))
-        while turned and heads + sum(min(held, len(turned)) for held, _ in self.unbound.values()) > self._room(1):
-            turned.pop()
-            self.short = True
+        turned = [rec for rec in self.backends.values() if rec.sent.get("out", False) != bool(
+            self.unbound and rec.phase != "ready" and rec.gone_at is not None)
+            and not any(rec.sent.get(table) for table in self.tables.values())]
+        heads, held = len(self.unbound) * (1 + self.settings.get("message_head", 0)), self.unbound.values()
+        while turned and heads + sum(min(lines, len(turned)) for lines, _ in held) > self._room(1):
+            self.short = bool(turned.pop())
         for rec in turned:
             rec.sent["out"] = not rec.sent.get("out", False)
             self.host.withdraw(rec.id, rec.sent["out"])
-        for proxy, (held, _) in self.unbound.items() if turned else ():
-            self._count(now, proxy, min(held, len(turned)))
+        for proxy, (lines, _) in self.unbound.items() if turned else ():
+            self._count(now, proxy, min(lines, len(turned)))
 
     def _room(self, part):
-        """Lines that may still be put into the channel up to a part of its limit."""
         return part * self.settings.get("backlog_limit", 1e9) - self.waiting
 
-    def _levels(self, now, table, users, own, shares):
-        sent = self.levels.setdefault(table, {})
+    def _levels(self, now, table, shares):
+        sent = self.levels[table]
         for position, kind in enumerate(self.classes):
-            if bool(self.own >> position & 1) != own:
-                continue
-            # In a storm each further try adds to it; while a few servers fail it finds a healthy one. What
-            # must not run twice is only tried again when it never ran.
+            # In a storm each further try adds to it. What must not run twice is only tried when it never ran.
             retries = 0 if self.strained else 2 if self.failing and kind.get("effect") == "free" else 1
             share, had = shares[position], sent.get(position, (1.0, self.settings.get("usual_retry", 0)))
-            if abs(share - had[0]) < SHED_MOVE and share < 1:
-                share = had[0]
             if had != (share, retries):
                 sent[position] = share, retries
                 if self.settings.get("admission") == "per_second":
                     rate = self.asked.get(kind.get("name"), 0) * (1 - RECENT) / max(1, len(self.proxies))
                     share = share * rate if share < 1 else NO_LIMIT
-                self.host.level(table, 1 << position, share, retries)
-                self._tell(now, users)
+                self._order(now, self.users[table], self.host.level, table, 1 << position, share, retries)
 
     def _bind_next(self, now):
-        """Joiners are bound in turn, as the channel has room, those with most traffic first."""
+        """Joiners are bound in turn, as there is room: who waits long first, then who has most traffic."""
         soon = self.settings.get("empty_limit", SECOND) / 2
-        for proxy in sorted(self.unbound, key=lambda proxy: (now - self.unbound[proxy][1] < soon,
-                                                             -self.proxies[proxy][2])):
-            if not self._bind(now, proxy):
-                break
+        order = {p: (now - since < soon, -self.proxies[p][2]) for p, (_, since) in self.unbound.items()}
+        all(self._bind(now, proxy) for proxy in sorted(order, key=order.get))
 
     def _bind(self, now, proxy):
         # Shut-outs may leave a joiner with nothing: who waits long goes before all but rule lines.
-        since = self.unbound.get(proxy, (0, now))[1]
-        part = min(BIND_LATE, BIND_PART + (now - since) / self.settings.get("empty_limit", SECOND))
         zone, bound, _ = self.proxies[proxy]
-        rest = (1 << len(self.classes)) - 1 - self.own if self.own else 0
-        for own, classes in ((False, rest), (True, self.own)):
-            table = self.tables.get((zone, own))
-            if table in bound or not self.lines.get(table):  # an empty table is worse than what the proxy holds
-                continue
-            cost = 1 + self.lines[table] + len(self.levels.get(table, ()))
-            if self.short or cost + 1 + self.settings.get("message_head", 0) > self._room(part) and self.waiting > 0:
-                return False
+        table, waited = self.tables[zone], now - self.unbound[proxy][1]
+        room = self._room(min(BIND_LATE, BIND_PART + waited / self.settings.get("empty_limit", SECOND)))
+        cost = 1 + self.lines[table] + len(self.levels[table])
+        if self.short or cost + 1 + self.settings.get("message_head", 0) > room and self.waiting > 0:
+            return False
+        if self.lines[table]:                     # an empty table is worse than what the proxy holds
             bound.add(table)
             self.users[table][proxy] = None
-            self.host.bind(proxy, table, classes)
+            del self.unbound[proxy]
+            self.host.bind(proxy, table, 0)
             self._count(now, proxy, cost)
-        if len(bound) == 1 + bool(self.own):
-            self.unbound.pop(proxy, None)
         return True
 
     def _keep_slices(self, now):
-        """Slices: the store's lines stand; only what drains or is lost is shut out and replaced."""
-        for rec in self.backends.values():
-            out = rec.phase != "ready"
-            if out != rec.sent.get("out", False):
-                rec.sent["out"] = out
-                self.host.withdraw(rec.id, out)
-                self._tell(now, self.proxies)
+        """The store's lines stand; what drains or is lost is shut out and, with no single owner, replaced."""
         ready = {rec.id: rec for rec in self.backends.values() if rec.phase == "ready"}
-        for table, lines in self.slices.items():
-            lost, alone = [b for b in lines if b not in ready], self.settings.get("one_owner")
-            if not ready or lines and not lost:
-                continue
-            if len(lost) == len(lines) and alone and not self._may_move(now, table):
-                continue
-            if len(lost) == len(lines):
+        for rec in self.backends.values():
+            if rec.sent.get("out", False) != (rec.id not in ready):
+                rec.sent["out"] = rec.id not in ready
+                self._order(now, self.proxies, self.host.withdraw, rec.id, rec.sent["out"])
+        for table, lines in self.slices.items() if ready and not self.settings.get("one_owner") else ():
+            for backend in [b for b in lines if b not in ready]:
+                del lines[backend]
+                self._order(now, self.proxies, self.host.weigh, table, backend, 0.0)
+            if not lines:
                 held = [b for own in self.slices.values() for b in own]
                 new = min(ready, key=lambda b: (self._cold(now, ready[b]), held.count(b)))
-                self.host.weigh(table, new, 1.0)
                 lines[new] = 1.0
-                self._tell(now, self.proxies)
-            for backend in lost:
-                del lines[backend]
-                if not alone:
-                    self.host.weigh(table, backend, 0.0)
-                    self._tell(now, self.proxies)
-            if self.moving.pop(table, None):
-                self.host.level(table, 0, 1.0, self.settings.get("usual_retry", 0))
-                self._tell(now, self.proxies)
-
-    def _may_move(self, now, table):
-        """Two owners must not write at once: nothing is let in until the last one's writes and lease end."""
-        if table not in self.moving:
-            self.host.level(table, 0, 0.0, 0)
-            self._tell(now, self.proxies)
-            wait = sum(self.settings.get(k, SECOND) for k in ("lease", "write_life", "message_delay_worst"))
-            self.moving[table] = now + wait, self.serial
-            self.host.wake(wait, "flush")
-            return False
-        since, serial = self.moving[table]
-        told = all(number != serial or not lines for number, lines, _ in self.out)
-        if now >= since and not told:
-            self.host.wake(SECOND, "flush")
-        return now >= since and told
+                self._order(now, self.proxies, self.host.weigh, table, new, 1.0)
 
-    def _tell(self, now, proxies):
+    def _order(self, now, proxies, call, *words):
+        call(*words)
         for proxy in proxies:
             self._count(now, proxy, 1)
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -33,8 +33,6 @@
         self.timers.append((self.now + delay, next(self.order), cookie))
 
     def begin(self):
-        if self.settings.pop("own_last", None):  # the last class may go only to its own zone
-            self.settings["classes"][-1]["own_zone_only"] = True
         self.planner = self.planner or Planner(self, self.now, 1, self.settings)
         return self.planner
 
