--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -201,7 +201,7 @@
             errors = self._middle([(rec.missed / rec.tried, rec.tried) for rec in heard])
             mean = self._middle([(rec.spent / rec.done, rec.done) for rec in heard if rec.done])
             promised = min((kind["promised_time"] for kind in self.classes), default=SECOND)
-            self.strained = mean > STRAINED_TIME * promised
+            self.strained = mean > (CALM_TIME if self.strained else STRAINED_TIME) * promised
             self.failing = errors < CALM_ERRORS and mean < CALM_TIME * promised and any(
                 rec.tried >= HEARD_LEAST and rec.missed > FAILING * rec.tried for rec in heard)
             self.through = 1 - sum(rec.missed for rec in heard) / tries
@@ -406,10 +406,8 @@
             if not held:
                 heads = len(self.proxies) * (1 + self.settings.get("message_head", 0)) / HEADS / left
                 self.next_alarm = now + int(SECOND * heads / self.settings.get("lines_per_s", 1e9))
-        if left > 1:
-            self._flush_at(self.next_alarm, now)
-        if self.short:
-            self._flush_at(self.next_flush, now)
+        if left > 1 or self.short:
+            self._flush_at(self.next_flush if self.short else self.next_alarm, now)
         self._bind_next(now)
 
     def _moves(self, now, only, held):
@@ -446,8 +444,10 @@
             self.unbound and rec.phase != "ready" and rec.gone_at is not None)
             and not any(rec.sent.get(table) for table in self.tables.values())]
         heads, held = len(self.unbound) * (1 + self.settings.get("message_head", 0)), self.unbound.values()
+        half = len(turned) // 2                   # less than half at a time would go for heads of messages
         while turned and heads + sum(min(lines, len(turned)) for lines, _ in held) > self._room(1):
-            self.short = bool(turned.pop())
+            del turned[-1 if len(turned) > half + 1 else 0:]
+            self.short = True
         for rec in turned:
             rec.sent["out"] = not rec.sent.get("out", False)
             self.host.withdraw(rec.id, rec.sent["out"])
