--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -113,8 +113,7 @@
         rec.missing = phase == "gone" and rec.phase == "ready" and self.settings.get("drain_needs_entry")
         if rec.missing:
             return self._probe(now, rec, True)
-        if phase != "ready" and rec.phase == "ready":
-            rec.gone_at = now
+        rec.gone_at = now if phase != "ready" and rec.phase == "ready" else rec.gone_at
         if phase == "ready" and (rec.phase != "ready" or started > rec.started):
             # A list may name what is not there: who is new earns its ramp by an answer, where probes tell. In
             # the first list only those still cold are new; they start over: a storm may be on, levels lost.
@@ -313,7 +312,7 @@
             for rec in self.backends.values():
                 rec.sent.pop("out", None)         # what was shut out before did not reach this one
             return self._flush(now)
-        held = self.settings.get("standing_lines", 0) if standing else len(self.backends)
+        held = min(len(self.backends), self.settings.get("standing_lines", 0) if standing else 1e9)
         self.unbound[proxy] = held, now
         if not self.lines[self.tables[zone]]:
             self._flush(now)
@@ -385,7 +384,7 @@
         for urgency, _, backend, table, want, ordinary in sorted(self._moves(now, only, held)):
             rec, users = self.backends[backend], self.users[table]
             cost = len(users) * (1 if table in touched else 2 + self.settings.get("message_head", 0))
-            if cost > self._room(0.5 if urgency else 1) or ordinary and cost > self.credit:
+            if cost > self._room(0.5 * (not self.short) if urgency else 1) or ordinary and cost > self.credit:
                 self.short = self.short or not urgency  # nothing else may use what frees until this fits
                 left = 4 if self.credit > cost else left
                 continue
@@ -395,10 +394,9 @@
             self.lines[table] += bool(want) - bool(rec.sent.get(table))
             rec.sent[table] = want
         self._shut_out(now)
-        shares = self._shares()
         for table in self.tables.values():
             if not only and not held and self._room(0.5) > 0:
-                self._levels(now, table, shares)
+                self._levels(now, table, self._shares())
         if self.serial != before:
             self.flushed_at, limit = now, self.settings.get("messages_limit")
             span = self.settings.get("messages_span", 10 * SECOND)
@@ -443,16 +441,19 @@
         turned = [rec for rec in self.backends.values() if rec.sent.get("out", False) != bool(
             self.unbound and rec.phase != "ready" and rec.gone_at is not None)
             and not any(rec.sent.get(table) for table in self.tables.values())]
-        heads, held = len(self.unbound) * (1 + self.settings.get("message_head", 0)), self.unbound.values()
-        half = len(turned) // 2                   # less than half at a time would go for heads of messages
-        while turned and heads + sum(min(lines, len(turned)) for lines, _ in held) > self._room(1):
-            del turned[-1 if len(turned) > half + 1 else 0:]
-            self.short = True
+        head, half, fleet = 1 + self.settings.get("message_head", 0), len(turned) // 2, len(self.backends)
+
+        def lines(held):  # as likely as it holds one: booked whole, what is never sent would fill the account
+            reach = len(turned) * held / fleet
+            return min(1, reach) * (head + max(1, reach))
+        while turned and sum(lines(held) for held, _ in self.unbound.values()) > self._room(1):
+            self.short = bool(turned.pop())
+        turned = turned if len(turned) >= half or self._room(0.25) > 0 else []  # else most would be heads
         for rec in turned:
             rec.sent["out"] = not rec.sent.get("out", False)
             self.host.withdraw(rec.id, rec.sent["out"])
-        for proxy, (lines, _) in self.unbound.items() if turned else ():
-            self._count(now, proxy, min(lines, len(turned)))
+        for proxy, (held, _) in self.unbound.items() if turned else ():
+            self._count(now, proxy, lines(held) - head)
 
     def _room(self, part):
         return part * self.settings.get("backlog_limit", 1e9) - self.waiting
