--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -26,10 +26,8 @@
 UNHEARD_PERIODS = 2     # periods that a cut server stays unheard before it comes back: the design page's
 MESSAGE_ROOM = 1.25     # times the shortest gap that keeps the messages to a proxy under their cap
 RECENT = 0.1            # part of the fleet sums that each look carries on: late as they are, no lag is added
-CALM_ERRORS = 0.05      # share failing at the middle server under which further tries find a healthy one
-FAILING = 0.4           # share failing at one server, the others calm, that makes a second try worth its work
 STRAINED_TIME = 0.65    # part of the shortest promised time: a mean above it means many answers come too late
-CALM_TIME = 0.5         # part of the shortest promised time: below it there is room to spare
+CALM_TIME = 0.5         # part of the shortest promised time: a mean under it ends a strain
 SHED_STEP = 0.95        # factor a look while the strain lasts, of what is let in and of what is answered
 SHED_BACK = 1.08        # factor a look without strain: the less is refused, the less is asked again
 SHED_LEAST = 0.2        # share of the work that is always let in: what is heard must not run dry
@@ -84,7 +82,7 @@
         self.flushed_at, self.next_flush, self.next_alarm, self.flush_due = None, 0, 0, False
         self.short, self.shut_at = False, 0       # a rule line waits for room; last shut-out for joiners
         self.credit = SAVED * settings.get("lines_per_s", 1e9)  # lines for ordinary changes
-        self.listed_once = self.failing = self.strained = self.bare = False
+        self.listed_once = self.strained = self.bare = False
         self.through = 1.0                        # share of tries answered lately
         self.room, self.asked = 1.0, {}           # share of work let in; class name -> transactions lately
         if settings.get("subscribe"):
@@ -197,12 +195,9 @@
         heard = [rec for rec in self.backends.values() if rec.tried >= 1]
         tries, asked = sum(rec.tried for rec in heard), sum(self.asked.values())
         if heard:
-            errors = self._middle([(rec.missed / rec.tried, rec.tried) for rec in heard])
             mean = self._middle([(rec.spent / rec.done, rec.done) for rec in heard if rec.done])
             promised = min((kind["promised_time"] for kind in self.classes), default=SECOND)
             self.strained = mean > (CALM_TIME if self.strained else STRAINED_TIME) * promised
-            self.failing = errors < CALM_ERRORS and mean < CALM_TIME * promised and any(
-                rec.tried >= HEARD_LEAST and rec.missed > FAILING * rec.tried for rec in heard)
             self.through = 1 - sum(rec.missed for rec in heard) / tries
             if not self.strained:                 # more is let in as the strain eases
                 self.room = min(1.0, self.room * SHED_BACK)
@@ -461,8 +456,8 @@
     def _levels(self, now, table, shares):
         sent = self.levels[table]
         for position, kind in enumerate(self.classes):
-            # In a storm each further try adds to it. What must not run twice is only tried when it never ran.
-            retries = 0 if self.strained else 2 if self.failing and kind.get("effect") == "free" else 1
+            # In a storm each further try adds to it; else one, of what provably never ran: no effect twice.
+            retries = 0 if self.strained else 1
             share, had = shares[position], sent.get(position, (1.0, self.settings.get("usual_retry", 0)))
             if had != (share, retries):
                 sent[position] = share, retries
