--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -39,6 +39,7 @@
 SERIALS = 65536         # marks are whole numbers under this
 ORDINARY = 0.3          # part of the channel's pace that ordinary changes may use: orders have a price
 HEADS = 0.15            # part of the channel's pace for heads of messages: sets the gap between flushes
+RULE_PART = 0.96        # part of the queue's limit that rule lines may fill: what joiners hold is a guess
 BIND_PART = 0.3         # part of the queue that binds may fill: learnt weights go first, and cost less before
 BIND_LATE = 0.45        # part that the binds of those fill who wait long: drains need the rest
 MARK_LOST = 16 * SECOND  # ns after which a mark is lost: a full queue of two seconds, eight times slowed
@@ -379,7 +380,8 @@
         for urgency, _, backend, table, want, ordinary in sorted(self._moves(now, only, held)):
             rec, users = self.backends[backend], self.users[table]
             cost = len(users) * (1 if table in touched else 2 + self.settings.get("message_head", 0))
-            if cost > self._room(0.5 * (not self.short) if urgency else 1) or ordinary and cost > self.credit:
+            room = self._room(0.5 * (not self.short) if urgency else RULE_PART)
+            if cost > room or ordinary and cost > self.credit:
                 self.short = self.short or not urgency  # nothing else may use what frees until this fits
                 left = 4 if self.credit > cost else left
                 continue
@@ -441,7 +443,7 @@
         def lines(held):  # as likely as it holds one: booked whole, what is never sent would fill the account
             reach = len(turned) * held / fleet
             return min(1, reach) * (head + max(1, reach))
-        while turned and sum(lines(held) for held, _ in self.unbound.values()) > self._room(1):
+        while turned and sum(lines(held) for held, _ in self.unbound.values()) > self._room(RULE_PART):
             self.short = bool(turned.pop())
         turned = turned if len(turned) >= half or self._room(0.25) > 0 else []  # else most would be heads
         for rec in turned:
