Oldest drains first, not a few at a time; moves keep short while marks come late

Rule lines now go by age, not few at a time, before any alarm; moves fill a fifth of the queue while marks take over 0.6 of a full one. Also holds against a channel slowed by anything.

--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -39,7 +39,9 @@
 SERIALS = 65536         # marks are whole numbers under this
 ORDINARY = 0.3          # part of the channel's pace that ordinary changes may use: orders have a price
 HEADS = 0.15            # part of the channel's pace for heads of messages: sets the gap between flushes
-RULE_PART = 0.96        # part of the queue's limit that rule lines may fill: what joiners hold is a guess
+RULE_PART = 0.94        # part of the queue's limit that rule lines may fill: what joiners hold is a guess
+SLOW_LAG = 0.6          # part of the told time of a full queue: a mark that took more shows a slow channel
+SLOW_PART = 0.2         # part that moves may fill then: a drain must not wait behind them
 BIND_PART = 0.3         # part of the queue that binds may fill: learnt weights go first, and cost less before
 BIND_LATE = 0.45        # part that the binds of those fill who wait long: drains need the rest
 MARK_LOST = 16 * SECOND  # ns after which a mark is lost: a full queue of two seconds, eight times slowed
@@ -81,7 +83,7 @@
         self.classes = [{"promised_time": SECOND, "benefit": 1, **c} for c in settings.get("classes") or []]
         self.out, self.serial, self.waiting = deque(), 0, 0  # messages perhaps still in the channel; lines
         self.flushed_at, self.next_flush, self.next_alarm, self.flush_due = None, 0, 0, False
-        self.short, self.shut_at = False, 0       # a rule line waits for room; last shut-out for joiners
+        self.lag, self.short, self.shut_at = 0, False, 0  # of marks; a rule line waits; joiners shut out when
         self.credit = SAVED * settings.get("lines_per_s", 1e9)  # lines for ordinary changes
         self.listed_once = self.strained = self.bare = False
         self.through = 1.0                        # share of tries answered lately
@@ -196,7 +198,11 @@
         heard = [rec for rec in self.backends.values() if rec.tried >= 1]
         tries, asked = sum(rec.tried for rec in heard), sum(self.asked.values())
         if heard:
-            mean = self._middle([(rec.spent / rec.done, rec.done) for rec in heard if rec.done])
+            mean, half = 0.0, sum(rec.done for rec in heard) / 2
+            for mean, done in sorted((rec.spent / rec.done, rec.done) for rec in heard if rec.done):
+                half -= done
+                if half <= 0:
+                    break
             promised = min((kind["promised_time"] for kind in self.classes), default=SECOND)
             self.strained = mean > (CALM_TIME if self.strained else STRAINED_TIME) * promised
             self.through = 1 - sum(rec.missed for rec in heard) / tries
@@ -210,19 +216,11 @@
             rec.done, rec.spent = rec.done * RECENT, rec.spent * RECENT
         self.asked = {name: number * RECENT for name, number in self.asked.items()}
 
-    def _middle(self, pairs):
-        half = sum(weight for _, weight in pairs) / 2
-        for value, weight in sorted(pairs):
-            half -= weight
-            if half <= 0:
-                return value
-        return 0.0
-
     def _shares(self):
         """The share let in of each class: least benefit per work goes first, by promised time for work."""
         work = [self.asked.get(kind.get("name"), 0) * kind["promised_time"] for kind in self.classes]
         shares, room = [1.0] * len(work), (self.room - SHED_FLOOR) * sum(work)
-        if self.room < 1 and sum(work) and self.settings.get("admission") in ("fraction", "per_second"):
+        if self.room < 1 and sum(work) and self.settings.get("admission") == "fraction":
             for k, kind in sorted(enumerate(self.classes), key=lambda each: (
                     -each[1]["benefit"] / (each[1]["promised_time"] or 1), each[0])):
                 given = max(0.0, min(room, (1 - SHED_FLOOR) * work[k]))
@@ -328,6 +326,7 @@
                 self.waiting -= lines.pop(proxy)
                 if number == serial:
                     break
+            self.lag = took
             self._bind_next(now)
 
     def slice_given(self, now, table, ours):
@@ -370,18 +369,23 @@
         """Sends what differs from the wanted tables, of one backend or of all. Only what a rule needs may use
         the second half of the channel; ordinary changes keep a pace of their own."""
         merging = now == self.flushed_at          # one reply, one message: more of it costs no head
-        if now < self.next_flush and not merging:
+        if only and self.short or now < self.next_flush and not merging:  # the oldest drains go first
             return self._flush_at(self.next_flush, now)
         if self.settings.get("slices"):
             return self._keep_slices(now)
         before, touched, held, left = self.serial, set(), now < self.next_alarm and not merging, 1
-        self.short = self.short and bool(only)
+        self.short = False
         self._shut_out(now)
-        for urgency, _, backend, table, want, ordinary in sorted(self._moves(now, only, held)):
+        moves = sorted(self._moves(now, only, held))
+        rule = sum(len(self.users[move[3]]) for move in moves if not move[0])
+        full = SECOND * self.settings.get("backlog_limit", 1e9) / self.settings.get("lines_per_s", 1)
+        part = 0 if self.short else SLOW_PART if self.lag > SLOW_LAG * full else 0.5
+        crowded = self._room(RULE_PART) < rule / 2 and self._room(0.5) < 0  # few at a time are mostly heads
+        for urgency, _, backend, table, want, ordinary in moves:
             rec, users = self.backends[backend], self.users[table]
             cost = len(users) * (1 if table in touched else 2 + self.settings.get("message_head", 0))
-            room = self._room(0.5 * (not self.short) if urgency else RULE_PART)
-            if cost > room or ordinary and cost > self.credit:
+            room = self._room(part if urgency else RULE_PART * (not crowded))
+            if cost > room and (urgency or self.waiting > 0) or ordinary and cost > self.credit:
                 self.short = self.short or not urgency  # nothing else may use what frees until this fits
                 left = 4 if self.credit > cost else left
                 continue
@@ -406,7 +410,7 @@
         self._bind_next(now)
 
     def _moves(self, now, only, held):
-        """Lines that differ from the wanted tables, ranked: a rule's by table, then by the weight moved."""
+        """Lines that differ from the wanted tables, ranked: a rule's by age, others by the weight moved."""
         self.bare = not any(rec.phase == "ready" and rec.proven for rec in self.backends.values())
         for zone, table in self.tables.items():
             for rec in (only,) if only else self.backends.values():
@@ -415,7 +419,7 @@
                 cut = rec.link(zone).cut_at is not None
                 alarm = not want or not sent or less and (cut or self._cold(now, rec))
                 if want != sent and (rec.phase != "ready" or not self.lines[table]):
-                    yield 0, table, rec.id, table, want, False
+                    yield 0, (rec.gone_at or 0, table), rec.id, table, want, False
                 elif want != sent and (alarm or not only and moved > RESEND * sent):
                     if held:
                         self._flush_at(self.next_alarm, now)
@@ -463,9 +467,7 @@
             share, had = shares[position], sent.get(position, (1.0, self.settings.get("usual_retry", 0)))
             if had != (share, retries):
                 sent[position] = share, retries
-                if self.settings.get("admission") == "per_second":
-                    rate = self.asked.get(kind.get("name"), 0) * (1 - RECENT) / max(1, len(self.proxies))
-                    share = share * rate if share < 1 else NO_LIMIT
+                share = NO_LIMIT if self.settings.get("admission") == "per_second" else share
                 self._order(now, self.users[table], self.host.level, table, 1 << position, share, retries)
 
     def _bind_next(self, now):
