--- a/granitespool/host.py
+++ b/granitespool/host.py
@@ -10,7 +10,8 @@
   zones, zone, index, planners, subscribe, probes, peers, admission (fraction, per_second, none)
   lines_per_s, message_head, backlog_limit, messages_limit, messages_span, message_delay, message_delay_worst
   report_every, reports_per_s, try_factor, avoid_after (failures running after which a proxy shuns a server),
-  standing_lines (most servers in the table a proxy starts with), usual_retry, connect_timeout, empty_limit, proxies_expected
+  standing_lines (most servers in the table a proxy starts with), usual_retry, connect_timeout, empty_limit,
+  proxies_expected
   drain_grace, ask_within, cold_time, cold_share, fall_multiple, fall_time, drain_needs_entry
   slices, one_owner, lease, write_life, hold_time
 """
