--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -42,8 +42,7 @@
 RULE_PART = 0.94        # part of the queue's limit that rule lines may fill: what joiners hold is a guess
 SLOW_LAG = 0.6          # part of the told time of a full queue: a mark that took more shows a slow channel
 SLOW_PART = 0.2         # part that moves may fill then: a drain must not wait behind them
-BIND_PART = 0.3         # part of the queue that binds may fill: learnt weights go first, and cost less before
-BIND_LATE = 0.45        # part that the binds of those fill who wait long: drains need the rest
+BIND_PART = 0.35        # part of the queue that binds may fill: drains need the rest
 MARK_LOST = 16 * SECOND  # ns after which a mark is lost: a full queue of two seconds, eight times slowed
 SAVED = 5               # s of the channel's pace that ordinary changes may save up: the design page's period
 
@@ -82,7 +81,7 @@
         self.levels, self.slices = defaultdict(dict), {}  # table -> {class: as sent}; slice held -> lines
         self.classes = [{"promised_time": SECOND, "benefit": 1, **c} for c in settings.get("classes") or []]
         self.out, self.serial, self.waiting = deque(), 0, 0  # messages perhaps still in the channel; lines
-        self.flushed_at, self.next_flush, self.next_alarm, self.flush_due = None, 0, 0, False
+        self.flushed_at, self.next_flush, self.next_alarm, self.flush_due = None, 0, 0, 0
         self.lag, self.short, self.shut_at = 0, False, 0  # of marks; a rule line waits; joiners shut out when
         self.credit = SAVED * settings.get("lines_per_s", 1e9)  # lines for ordinary changes
         self.listed_once = self.strained = self.bare = False
@@ -134,7 +133,7 @@
             self.host.wake(PERIOD, "round")
             self._round(now)
         elif cookie == "flush":
-            self.flush_due = False
+            self.flush_due = 0
             self._flush(now)
         elif cookie == "observe":
             self.host.observe(True)
@@ -208,9 +207,8 @@
             self.through = 1 - sum(rec.missed for rec in heard) / tries
             if not self.strained:                 # more is let in as the strain eases
                 self.room = min(1.0, self.room * SHED_BACK)
-            elif asked > 0:                       # what is answered is let in, as are losses of other kinds
-                done = sum(rec.done for rec in heard)
-                self.room = max(SHED_LEAST, min(self.room * SHED_STEP, SHED_STEP * done / asked))
+            elif asked > 0:
+                self.room = max(SHED_LEAST, SHED_STEP * min(self.room, sum(r.done for r in heard) / asked))
         for rec in self.backends.values():
             rec.tried, rec.missed = rec.tried * RECENT, rec.missed * RECENT
             rec.done, rec.spent = rec.done * RECENT, rec.spent * RECENT
@@ -379,7 +377,10 @@
         moves = sorted(self._moves(now, only, held))
         rule = sum(len(self.users[move[3]]) for move in moves if not move[0])
         full = SECOND * self.settings.get("backlog_limit", 1e9) / self.settings.get("lines_per_s", 1)
-        part = 0 if self.short else SLOW_PART if self.lag > SLOW_LAG * full else 0.5
+        # Shut-outs may leave a joiner with nothing: moves make room for who waits long, as for drains.
+        soon = now - self.settings.get("empty_limit", SECOND) / 2
+        slow = self.lag > SLOW_LAG * full or any(since < soon for _, since in self.unbound.values())
+        part = 0 if self.short else SLOW_PART if slow else 0.5
         crowded = self._room(RULE_PART) < rule / 2 and self._room(0.5) < 0  # few at a time are mostly heads
         for urgency, _, backend, table, want, ordinary in moves:
             rec, users = self.backends[backend], self.users[table]
@@ -427,9 +428,10 @@
                         yield 1, -(moved if sent else rec.listed), rec.id, table, want, not alarm
 
     def _flush_at(self, when, now):
-        if not self.flush_due:
-            self.flush_due = True
-            self.host.wake(max(when - now, PERIOD // 4), "flush")
+        when = max(when, now + PERIOD // 4)
+        if not now < self.flush_due <= when:      # a drain does not wait for a later flush
+            self.flush_due = when
+            self.host.wake(when - now, "flush")
 
     def _shut_out(self, now):
         """Proxies not bound yet go on with tables of others: what drains or is gone is shut out of those too,
@@ -477,10 +479,8 @@
         all(self._bind(now, proxy) for proxy in sorted(order, key=order.get))
 
     def _bind(self, now, proxy):
-        # Shut-outs may leave a joiner with nothing: who waits long goes before all but rule lines.
         zone, bound, _ = self.proxies[proxy]
-        table, waited = self.tables[zone], now - self.unbound[proxy][1]
-        room = self._room(min(BIND_LATE, BIND_PART + waited / self.settings.get("empty_limit", SECOND)))
+        table, room = self.tables[zone], self._room(BIND_PART)
         cost = 1 + self.lines[table] + len(self.levels[table])
         if self.short or cost + 1 + self.settings.get("message_head", 0) > room and self.waiting > 0:
             return False
