--- a/granitespool/wirehost.py
+++ b/granitespool/wirehost.py
@@ -151,7 +151,8 @@
         raise BadInput("a list entry is not an object")
     weight = row.get("weight")
     return {"backend": need(row, "backend", str), "zone": row.get("zone"), "kind": row.get("machine"),
-            "cell": row.get("pack"), "phase": PHASE.get(need(row, "phase", str), "gone"), "weight": 1 if weight is None else weight,
+            "cell": row.get("pack"), "phase": PHASE.get(need(row, "phase", str), "gone"),
+            "weight": 1 if weight is None else weight,
             "started": (row.get("since_us") or 0) * NS}
 
 
