Read-through: a proxy's tables follow from its zone; shares computed once a flush

Since each zone has one table, the set of tables in a proxy's record said nothing that its zone does not; the shares let in were computed once a table.

--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -73,7 +73,7 @@
     def __init__(self, host, now, seed, settings):
         self.host, self.settings = host, settings
         self.jitter = Random(seed).uniform
-        self.backends, self.proxies = {}, {}      # id -> Backend; id -> (zone, tables bound to, rate)
+        self.backends, self.proxies = {}, {}      # id -> Backend; id -> (zone, rate)
         self.unbound = {}                         # proxy yet to be bound -> (others' lines it holds, since)
         self.tables = {zone: k for k, zone in enumerate(settings.get("zones") or [])}  # zone -> its table
         self.average = {}                         # zone -> average cost, ns
@@ -298,7 +298,7 @@
 
     def joined(self, now, proxy, zone, standing, rate):
         self.left(now, proxy)
-        self.proxies[proxy] = zone, set(), rate
+        self.proxies[proxy] = zone, rate
         self.tables.setdefault(zone, len(self.tables))
         if self.settings.get("slices"):
             for rec in self.backends.values():
@@ -311,8 +311,8 @@
         self._bind(now, proxy)
 
     def left(self, now, proxy):
-        for table in self.proxies.pop(proxy, (None, ()))[1]:
-            del self.users[table][proxy]
+        if proxy in self.proxies:
+            self.users[self.tables[self.proxies.pop(proxy)[0]]].pop(proxy, None)
         self.unbound.pop(proxy, None)
         for _, lines, _ in self.out:
             self.waiting -= lines.pop(proxy, 0)
@@ -396,9 +396,10 @@
             self.lines[table] += bool(want) - bool(rec.sent.get(table))
             rec.sent[table] = want
         self._shut_out(now)
+        shares = () if only or held else self._shares()
         for table in self.tables.values():
-            if not only and not held and self._room(0.5) > 0:
-                self._levels(now, table, self._shares())
+            if shares and self._room(0.5) > 0:
+                self._levels(now, table, shares)
         if self.serial != before:
             self.flushed_at, limit = now, self.settings.get("messages_limit")
             span = self.settings.get("messages_span", 10 * SECOND)
@@ -475,17 +476,15 @@
     def _bind_next(self, now):
         """Joiners are bound in turn, as there is room: who waits long first, then who has most traffic."""
         soon = self.settings.get("empty_limit", SECOND) / 2
-        order = {p: (now - since < soon, -self.proxies[p][2]) for p, (_, since) in self.unbound.items()}
+        order = {p: (now - since < soon, -self.proxies[p][1]) for p, (_, since) in self.unbound.items()}
         all(self._bind(now, proxy) for proxy in sorted(order, key=order.get))
 
     def _bind(self, now, proxy):
-        zone, bound, _ = self.proxies[proxy]
-        table, room = self.tables[zone], self._room(BIND_PART)
+        table, room = self.tables[self.proxies[proxy][0]], self._room(BIND_PART)
         cost = 1 + self.lines[table] + len(self.levels[table])
         if self.short or cost + 1 + self.settings.get("message_head", 0) > room and self.waiting > 0:
             return False
         if self.lines[table]:                     # an empty table is worse than what the proxy holds
-            bound.add(table)
             self.users[table][proxy] = None
             del self.unbound[proxy]
             self.host.bind(proxy, table, 0)
