--- /dev/null
+++ b/granitespool/facade.py
@@ -0,0 +1,215 @@
+"""The planner in blocking style: report what was met, tick the time, pick what is next to be written to a party.
+
+    coordinator.report(now, "heard", zone=..., backend=..., ...)   # any number, all with the turn's one time
+    due = coordinator.tick(now)                                    # ends the turn; the time it is next due
+    for party in coordinator.parties():                            # who has something waiting
+        order = coordinator.pick(party)                            # None once there is nothing
+
+What is reported in one turn is one batch, and what it orders is one message for each proxy. Orders not picked
+yet merge with later ones: the last weight wins, the last mark stands for those before. Shared tables are
+expanded here to each bound proxy, and shut-outs kept for each stream. No decision is taken in this file."""
+import heapq
+import traceback
+
+from granitespool.rules import Planner
+
+PROBES, PEERS, REMARKS = "probes", "peers", "remarks"  # parties other than the proxies, which are numbers
+MET = frozenset(("list_news", "heard", "arrivals", "joined", "left", "applied", "probed", "peer_said",
+                 "slice_given", "slice_line", "slice_load"))
+
+
+class Party:
+    """A joined proxy: the tables it is bound to, the backends it may hold shut out, and what is to be written."""
+
+    def __init__(self, suspects):
+        self.tables = {}             # classes (sum of 2**k) -> table
+        self.shut = set(suspects)
+        self.clear()
+
+    def clear(self):
+        self.lines, self.whole, self.levels = {}, set(), {}  # classes -> lines; classes; position -> level
+        self.out, self.mark = {}, None                       # backend -> is it shut out; the last mark
+
+
+class Coordinator:
+    """One coordinator: a planner, the host that it acts on, and what waits for each party."""
+
+    def __init__(self, settings, seed, now):
+        self.classes = [kind.get("name") for kind in settings.get("classes") or ()]
+        self.every = (1 << len(self.classes)) - 1
+        self.now, self.serial, self.timers = now, 0, []
+        self.proxies, self.touched, self.waiting = {}, {}, {}  # number -> Party; in this turn; parties
+        self.tables, self.levels, self.withdrawn = {}, {}, set()
+        self.suspects = {}           # backends that some coordinator may have shut out
+        self.mark_now = None
+        self.queues = {PROBES: [], PEERS: [], REMARKS: []}
+        self.planner = Planner(self, now, seed, settings)
+
+    def report(self, now, what, **met):
+        """What was met; `what` and the words of `met` are the planner's method and its parameters."""
+        assert what in MET, what
+        self.now = max(self.now, now)
+        if what == "joined":
+            self.proxies[met["proxy"]] = Party(self.suspects)
+            self.waiting.pop(met["proxy"], None)
+            self.touched.pop(met["proxy"], None)
+        elif what == "left":
+            for kept in (self.proxies, self.waiting, self.touched):
+                kept.pop(met["proxy"], None)
+        elif what == "list_news":
+            for entry in met["entries"]:
+                if entry["started"] > 0 or entry["phase"] != "ready":
+                    self.suspects[entry["backend"]] = None
+        self._guarded(getattr(self.planner, what), **met)
+
+    def tick(self, now):
+        """Lets the timers run that are due, ends the turn and returns when the next is due."""
+        self.now = max(self.now, now)
+        while self.timers and self.timers[0][0] <= self.now:
+            self._guarded(self.planner.timer, heapq.heappop(self.timers)[2])
+        for proxy in self.touched:
+            if self.mark_now is not None:
+                self.proxies[proxy].mark = self.mark_now
+            self.waiting[proxy] = None
+        self.touched, self.mark_now = {}, None
+        return self.timers[0][0] if self.timers else None
+
+    def _guarded(self, call, *words, **met):
+        # A fault of the planner must not end the process: every proxy would lose its coordinator. What else
+        # it holds for: faults in this file's host calls. Harm: it goes on from a state left half changed.
+        try:
+            call(self.now, *words, **met)
+        except Exception:
+            self.remark(traceback.format_exc())
+
+    def parties(self):
+        return [*self.waiting, *(party for party, queue in self.queues.items() if queue)]
+
+    def pick(self, party):
+        """What is next for this party: a proxy's message, or the next of a queue, or None."""
+        if party in self.queues:
+            return self.queues[party].pop(0) if self.queues[party] else None
+        if self.waiting.pop(party, self) is self:
+            return None
+        held = self.proxies[party]
+        order = {"tables": [(self._names(classes), classes in held.whole, list(lines.items()))
+                            for classes, lines in held.lines.items()],
+                 "levels": self._grouped(held.levels),
+                 "out": [b for b, out in held.out.items() if out],
+                 "back": [b for b, out in held.out.items() if not out], "mark": held.mark}
+        held.clear()
+        return order
+
+    def _names(self, classes):
+        if classes == self.every:
+            return None              # all of them
+        return [name for k, name in enumerate(self.classes) if classes >> k & 1]
+
+    def _grouped(self, levels):
+        groups = {}
+        for position, level in sorted(levels.items()):
+            groups[level] = groups.get(level, 0) | 1 << position
+        return [(self._names(classes), *level) for level, classes in groups.items()]
+
+    def _users(self, table):
+        for proxy, held in self.proxies.items():
+            for classes, used in held.tables.items():
+                if used == table:
+                    self.touched[proxy] = None
+                    yield held, classes
+
+    def _line(self, held, classes, backend, weight):
+        held.lines.setdefault(classes, {})[backend] = weight
+        out = backend in self.withdrawn
+        if weight and out != (backend in held.shut):
+            self._shut(held, backend, out)
+
+    @staticmethod
+    def _shut(held, backend, out):
+        held.out[backend] = out
+        (held.shut.add if out else held.shut.discard)(backend)
+
+    # The planner's host
+
+    def weigh(self, table, backend, weight):
+        lines = self.tables.setdefault(table, {})
+        lines[backend] = weight
+        if not weight:
+            del lines[backend]
+        for held, classes in self._users(table):
+            self._line(held, classes, backend, weight)
+            if not weight and classes in held.whole:
+                del held.lines[classes][backend]
+
+    def reset_table(self, table):
+        self.tables.pop(table, None)
+        self.levels.pop(table, None)
+        for held, classes in self._users(table):
+            self._rewrite(held, classes, table)
+
+    def bind(self, proxy, table, classes):
+        held, classes = self.proxies.get(proxy), classes or self.every
+        if held is None:
+            return
+        for other, used in list(held.tables.items()):
+            if other & classes:      # the later table has these classes now
+                del held.tables[other]
+                held.lines.pop(other, None)
+                held.whole.discard(other)
+                if other & ~classes:
+                    held.tables[other & ~classes] = used
+                    self._rewrite(held, other & ~classes, used)
+        held.tables[classes] = table
+        self._rewrite(held, classes, table)
+        self.touched[proxy] = None
+
+    def _rewrite(self, held, classes, table):
+        """The whole table; it makes the proxy forget its levels, so those come again."""
+        held.whole.add(classes)
+        held.lines[classes] = {}
+        for backend, weight in self.tables.get(table, {}).items():
+            self._line(held, classes, backend, weight)
+        for position in range(len(self.classes)):
+            if classes >> position & 1:
+                held.levels.pop(position, None)
+                if position in self.levels.get(table, ()):
+                    held.levels[position] = self.levels[table][position]
+
+    def withdraw(self, backend, out):
+        (self.withdrawn.add if out else self.withdrawn.discard)(backend)
+        for proxy, held in self.proxies.items():
+            # Who is bound needs it where its tables hold the backend; else it follows with the line, if ever
+            if not held.tables or any(backend in self.tables.get(table, ()) for table in held.tables.values()):
+                self._shut(held, backend, out)
+                self.touched[proxy] = None
+
+    def level(self, table, classes, share, retries):
+        for position in range(len(self.classes)):
+            if not classes or classes >> position & 1:
+                self.levels.setdefault(table, {})[position] = share, retries
+                for held, bound in self._users(table):
+                    if bound >> position & 1:
+                        held.levels[position] = share, retries
+
+    def mark(self, serial, everyone):
+        self.mark_now = serial
+        if everyone:
+            self.touched.update(dict.fromkeys(self.proxies))
+
+    def probe(self, backend):
+        self.queues[PROBES].append(backend)
+
+    def observe(self, on):
+        """The list's watch stands by itself as long as the service runs, so there is nothing to ask for."""
+
+    lookup = observe
+
+    def wake(self, delay, cookie):
+        self.serial += 1
+        heapq.heappush(self.timers, (self.now + delay, self.serial, cookie))
+
+    def post(self, peer, contents):
+        self.queues[PEERS].append((peer, contents))
+
+    def remark(self, text):
+        self.queues[REMARKS].append(text)
--- /dev/null
+++ b/granitespool/net/__init__.py
@@ -0,0 +1,1 @@
+"""The sockets round the coordinator: one epoll loop, generators as coroutines, one owner for each resource."""
--- /dev/null
+++ b/granitespool/net/client.py
@@ -0,0 +1,37 @@
+"""Steps that coroutines share: dialling a party, and taking what h11 needs."""
+import errno
+import socket
+
+from granitespool.net.loop import IN, OUT
+
+READ = 16 * 1024  # bytes taken from an HTTP party at once
+
+
+def dial(sock, address, due):
+    """Connects; ends in TimeoutError, or in the OSError that the network tells."""
+    code = sock.connect_ex(address)
+    if code == errno.EINPROGRESS:
+        if not (yield sock.fileno(), OUT, due):
+            raise TimeoutError("no connection in time")
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if code:
+        raise OSError(code, errno.errorcode.get(code, str(code)))
+
+
+def send(sock, data, due):
+    while data:
+        try:
+            data = data[sock.send(data):]
+        except BlockingIOError:
+            if not (yield sock.fileno(), OUT, due):
+                raise TimeoutError("not taken in time") from None
+
+
+def receive(sock, due):
+    """Some bytes, b"" at the end of the connection."""
+    while True:
+        try:
+            return sock.recv(READ)
+        except BlockingIOError:
+            if not (yield sock.fileno(), IN, due):
+                raise TimeoutError("silent") from None
--- /dev/null
+++ b/granitespool/net/config.py
@@ -0,0 +1,53 @@
+"""The configuration: one JSON file, told by LB_CONFIG."""
+import orjson
+
+from granitespool.settings import BadInput, need, settings_map
+
+
+def address(text):
+    """(host, port) of `host:port`."""
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise BadInput(f"{text!r:.60} is not an address host:port")
+    return host, int(port)
+
+
+def load(path):
+    """A plain map of what the service is told, or BadInput with one sentence."""
+    if not path:
+        raise BadInput("no configuration: LB_CONFIG names no file")
+    try:
+        with open(path, "rb") as file:
+            told = orjson.loads(file.read())
+    except OSError as error:
+        raise BadInput(f"the configuration {path} cannot be read: {error.strerror}") from None
+    except ValueError as error:
+        raise BadInput(f"the configuration {path} is not JSON: {error}") from None
+    if not isinstance(told, dict):
+        raise BadInput(f"the configuration {path} is not an object")
+    told = {"type": "configuration", **told}
+    seed = str(told.get("seed") or 0)
+    try:
+        seed = int(seed, 16)
+    except ValueError:
+        raise BadInput(f"the seed {seed!r:.40} is not in hex digits") from None
+    limits = told.get("limits") or {}
+    return {
+        "name": need(told, "name", str), "listen": address(need(told, "listen", str)),
+        "discovery": address(need(told, "discovery", str)), "seed": seed,
+        "sockets": need({"type": "limits", "sockets": 1024, **limits}, "sockets", int),
+        "peer_listen": address(told["peer_listen"]) if told.get("peer_listen") else None,
+        "peers": [address(peer) for peer in told.get("peers") or ()],
+        "peers_all": address(told["peers_all"]) if told.get("peers_all") else None,
+        "known": told.get("known") or {"index": 0, "endpoints": []},
+        "settings": settings_map(need(told, "settings", dict)),
+    }
+
+
+def summary(config):
+    """One line for a person: what this configuration holds."""
+    settings = config["settings"]
+    return (f"{config['name']} listens on {config['listen'][0]}:{config['listen'][1]}, "
+            f"{len(settings.get('zones') or ())} zones, {len(settings['classes'])} classes, "
+            f"{len(config['known'].get('endpoints') or ())} backends known, {len(config['peers'])} peers, "
+            f"{config['sockets']} sockets")
--- /dev/null
+++ b/granitespool/net/discovery.py
@@ -0,0 +1,82 @@
+"""Discovery: a watch of the list, dialled again whenever it ends or goes silent; the old list stays meanwhile."""
+import socket
+
+import h11
+import orjson
+
+from granitespool.net.client import dial, receive, send
+from granitespool.net.config import address
+from granitespool.net.loop import SECOND
+from granitespool.settings import SOCKETS, BadInput, list_entry, need
+
+DIAL = SECOND                # ns for a connection to come up: the agent is on this machine
+BEAT = 5 * SECOND // 2       # ns without a byte after which a watch is dead: an empty line comes every 2 s
+WAIT_FIRST = SECOND // 20    # ns before the first new dialling
+WAIT_MOST = SECOND           # ns between diallings at most: the agent answers at no cost
+GROWTH = 2                   # factor from one wait to the next
+JITTER = 0.5, 1.0            # part of the wait that is waited
+LINE_MOST = 8 << 20          # bytes of one line: a list of ten thousand backends
+
+
+class Discovery:
+    def __init__(self, loop, coordinator, log, config, uniform):
+        self.loop, self.coordinator, self.log, self.uniform = loop, coordinator, log, uniform
+        self.where, self.index, self.addresses = config["discovery"], 0, {}
+        self.news(config["known"], "restored")
+        loop.spawn(self._watch())
+
+    def news(self, message, form=None):
+        """Reports one message of the list; an entry that is wrong is left out."""
+        message = {"type": "list", **message} if isinstance(message, dict) else {"type": "list"}
+        entries, whole = [], form or ("whole" if message.get("snapshot") else "changes")
+        index = need(message, "index", int)
+        for row in need(message, "endpoints", list):
+            try:
+                entry = list_entry(row, SOCKETS)
+                if row.get("address"):
+                    self.addresses[entry["backend"]] = address(row["address"])
+                entries.append(entry)
+            except BadInput as error:
+                self.log.event("entry_dropped", why=str(error))
+                whole = form or "changes"  # what cannot be read is not gone: nobody leaves by being left out
+        self.index = index
+        if form or entries or whole == "whole":
+            self.coordinator.report(self.loop.now, "list_news", form=whole, entries=entries)
+        self.log.event("list", form=whole, index=index, entries=len(entries))
+
+    def _watch(self):
+        wait = WAIT_FIRST
+        while True:
+            try:
+                with socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK) as sock:
+                    yield from dial(sock, self.where, self.loop.now + DIAL)
+                    http = h11.Connection(h11.CLIENT)
+                    yield from send(sock, http.send(h11.Request(
+                        method="GET", target=f"/discovery/hosts?watch=1&after={self.index}",
+                        headers=[("Host", "{}:{}".format(*self.where))])), self.loop.now + DIAL)
+                    http.send(h11.EndOfMessage())
+                    waiting = b""
+                    while (event := http.next_event()) is not None:
+                        if event is h11.NEED_DATA:
+                            http.receive_data((yield from receive(sock, self.loop.now + BEAT)))
+                        elif isinstance(event, h11.Response) and event.status_code != 200:
+                            raise BadInput(f"the list's watch was answered {event.status_code}")
+                        elif isinstance(event, h11.Data):
+                            *lines, waiting = (waiting + event.data).split(b"\n")
+                            for line in filter(bytes.strip, lines):
+                                self._line(line)
+                                wait = WAIT_FIRST
+                            if len(waiting) > LINE_MOST:
+                                raise BadInput("a line of the list is over the limit")
+                        elif isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
+                            raise BadInput("the list's watch was ended")
+            except (OSError, BadInput, h11.RemoteProtocolError) as error:
+                self.log.event("watch_ended", why=str(error), index=self.index)
+            yield None, 0, self.loop.now + int(wait * self.uniform(*JITTER))
+            wait = min(WAIT_MOST, wait * GROWTH)
+
+    def _line(self, line):
+        try:
+            self.news(orjson.loads(line))
+        except ValueError:
+            raise BadInput("a line of the list is not JSON") from None
--- /dev/null
+++ b/granitespool/net/frames.py
@@ -0,0 +1,108 @@
+"""Frames of the streams: four bytes of length, least significant first, and one JSON object."""
+import orjson
+
+from granitespool.settings import BadInput
+
+LARGEST = 1 << 20    # bytes of a message at most: the protocol's
+PARTS = 64           # parts of a message at most: the protocol's
+PART_LINES = 4096    # lines in one part: some 200 bytes a line keep it under the largest message
+HEAD = 4             # bytes of length
+
+
+def frame(message):
+    body = orjson.dumps(message)
+    return len(body).to_bytes(HEAD, "little") + body
+
+
+PONG = frame({"type": "pong"})
+
+
+class Reader:
+    """What one party has sent and is not read yet; owns the buffers it took from the pool."""
+
+    def __init__(self, pool):
+        self.pool, self.chain, self.first, self.have = pool, [], 0, 0  # [buffer, filled]; offset in the first
+
+    def room(self):
+        """A view to receive into, or None when the pool has no buffer left."""
+        if not self.chain or self.chain[-1][1] == self.pool.size:
+            buffer = self.pool.take()
+            if buffer is None:
+                return None
+            self.chain.append([buffer, 0])
+        buffer, filled = self.chain[-1]
+        return memoryview(buffer)[filled:]
+
+    def received(self, size):
+        self.chain[-1][1] += size
+        self.have += size
+
+    def messages(self):
+        """The messages that are complete; a frame that is not the protocol's ends in BadInput."""
+        while self.have >= HEAD:
+            size = int.from_bytes(self._bytes(HEAD), "little")
+            if size > LARGEST:
+                raise BadInput(f"a message of {size} bytes is over the limit")
+            if self.have < HEAD + size:
+                return
+            self._skip(HEAD)
+            body = self._bytes(size)
+            self._skip(size)
+            try:
+                message = orjson.loads(body)
+            except ValueError as error:
+                raise BadInput(f"a message is not JSON: {error}") from None
+            if not isinstance(message, dict) or not isinstance(message.get("type"), str):
+                raise BadInput("a message is not an object with a type")
+            yield message
+
+    def _bytes(self, size):
+        pieces, first = [], self.first
+        for buffer, filled in self.chain:
+            piece = memoryview(buffer)[first:min(filled, first + size)]
+            pieces.append(piece)
+            size, first = size - len(piece), 0
+            if not size:
+                break
+        return b"".join(pieces)
+
+    def _skip(self, size):
+        self.first, self.have = self.first + size, self.have - size
+        while self.chain and self.first >= self.chain[0][1] and (self.have or self.chain[0][1] == self.pool.size):
+            self.first -= self.chain[0][1]
+            self.pool.give(self.chain.pop(0)[0])
+        if not self.have:
+            self.close()
+
+    def close(self):
+        while self.chain:
+            self.pool.give(self.chain.pop()[0])
+        self.first = self.have = 0
+
+
+def updates(order):
+    """The frames of one message to a proxy, from an order in our words."""
+    parts = []
+    for classes, whole, lines in order["tables"]:
+        for at in range(0, len(lines) or 1, PART_LINES):
+            part = {"type": "update", "lines": lines[at:at + PART_LINES]}
+            if classes is not None:
+                part["classes"] = classes
+            if whole and not at:
+                part["whole"] = True
+            parts.append(part)
+    for classes, share, retries in order["levels"]:
+        part = {"type": "update", "level": share, "retry": retries}
+        if classes is not None:
+            part["classes"] = classes
+        parts.append(part)
+    last = {key: order[key] for key in ("out", "back") if order[key]}
+    if order["mark"] is not None:
+        last["ticket"] = order["mark"]
+    if not parts:
+        parts.append({"type": "update"})
+    parts[-1].update(last)
+    assert len(parts) <= PARTS, len(parts)
+    for part in parts[:-1]:
+        part["more"] = True
+    return b"".join(map(frame, parts))
--- /dev/null
+++ b/granitespool/net/log.py
@@ -0,0 +1,48 @@
+"""The log: one JSON line an event, by orjson; it never blocks the loop.
+
+Owns the descriptor it writes to only so far as its blocking mode, which `close` puts back."""
+import os
+import time
+
+import orjson
+
+MOST = 256 * 1024  # bytes that wait for a reader at most: some thousand lines; later ones are counted and dropped
+WORD = 2000        # characters of a value that are kept: a traceback's end
+
+
+class Log:
+    def __init__(self, fd, **always):
+        self.fd, self.always, self.waiting, self.size, self.dropped = fd, always, [], 0, 0
+        self.blocking = os.get_blocking(fd)
+        os.set_blocking(fd, False)
+
+    def event(self, name, **fields):
+        fields = {key: value[-WORD:] if isinstance(value, str) else value for key, value in fields.items()}
+        line = orjson.dumps({"at_ms": time.time_ns() // 1_000_000, "event": name, **self.always, **fields},
+                            default=str, option=orjson.OPT_APPEND_NEWLINE)
+        if self.size + len(line) > MOST:
+            self.dropped += 1
+        else:
+            self.waiting.append(line)
+            self.size += len(line)
+
+    def flush(self):
+        """Writes what the reader takes at once; called at the end of each turn."""
+        if not self.waiting:
+            return
+        data = b"".join(self.waiting)
+        try:
+            written = os.write(self.fd, data)
+        except BlockingIOError:
+            written = 0
+        except OSError:              # nobody reads any more: what waits is lost, the service goes on
+            written = len(data)
+        rest = data[written:]
+        self.waiting, self.size = [rest] if rest else [], len(rest)
+        if self.dropped and not rest:
+            dropped, self.dropped = self.dropped, 0
+            self.event("log_dropped", lines=dropped)
+
+    def close(self):
+        self.flush()
+        os.set_blocking(self.fd, self.blocking)
--- /dev/null
+++ b/granitespool/net/loop.py
@@ -0,0 +1,128 @@
+"""The event loop: select.epoll, generators as coroutines, timers.
+
+A coroutine yields `(fd, mask, due)` and is resumed with the events met, or 0 once `due` (ns on the loop's
+clock, None: never) is past or it was poked; `fd` None only waits. It owns its descriptor, and closes it in its
+own `finally`. One turn resumes all that is ready with one `now`, then calls the `end_of_turn` it was given."""
+import heapq
+import os
+import select
+import time
+from collections import deque
+
+IN, OUT = select.EPOLLIN, select.EPOLLOUT
+SECOND = 1_000_000_000  # ns
+EVENTS = 1024           # events taken in one turn: all descriptors the limits allow
+IDLE = 60 * SECOND      # ns the loop sleeps at most: a bound for the system call alone
+
+
+class Task:
+    __slots__ = ("run", "fd", "mask", "wait", "begun")
+
+    def __init__(self, run):
+        self.run, self.fd, self.mask, self.wait, self.begun = run, None, 0, 0, False
+
+
+class Loop:
+    def __init__(self, failed):
+        self.failed = failed     # called with an exception that a coroutine did not catch
+        self.epoll = select.epoll()
+        self.tasks, self.timers, self.ready, self.serial = {}, [], deque(), 0
+        self.all, self.stopped = set(), False
+        # One clock comparable with Unix time, as discovery's times are, that never goes backward.
+        self.offset = time.time_ns() - time.monotonic_ns()
+        self.now = self.clock()
+        self.bell = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
+        self.epoll.register(self.bell, IN)
+
+    def clock(self):
+        return time.monotonic_ns() + self.offset
+
+    def spawn(self, run):
+        """Runs a coroutine to its first wait; so its `finally` holds from then on."""
+        task = Task(run)
+        self.all.add(task)
+        self._resume(task, 0)
+        return task
+
+    def poke(self, task):
+        """Resumes a coroutine in this turn, with 0."""
+        self.ready.append(task)
+
+    def stop(self):
+        """Ends `run`; may be called from a signal handler."""
+        self.stopped = True
+        os.eventfd_write(self.bell, 1)
+
+    def run(self, end_of_turn):
+        next_due = None
+        while not self.stopped:
+            dues = [due for due in (next_due, self.timers[0][0] if self.timers else None) if due is not None]
+            wait = min(dues, default=self.now + IDLE) - self.clock()
+            events = self.epoll.poll(0 if self.ready else max(0, min(wait, IDLE)) / SECOND, EVENTS)
+            self.now = self.clock()
+            for fd, mask in events:
+                if fd in self.tasks:
+                    self._resume(self.tasks[fd], mask)
+            while self.timers and self.timers[0][0] <= self.now:
+                _, _, task, wait = heapq.heappop(self.timers)
+                if task.wait == wait:
+                    self._resume(task, 0)
+            self._pokes()
+            next_due = end_of_turn(self.now)
+            self._pokes()
+
+    def _pokes(self):
+        for _ in range(len(self.ready)):
+            self._resume(self.ready.popleft(), 0)
+
+    def _resume(self, task, events):
+        if task not in self.all:
+            return
+        task.wait, value, task.begun = 0, events if task.begun else None, True
+        try:
+            fd, mask, due = task.run.send(value)
+        except StopIteration:
+            return self._forget(task)
+        except Exception as error:
+            self._forget(task)
+            return self.failed(error)
+        self._watch(task, fd, mask)
+        if due is not None:
+            self.serial += 1
+            task.wait = self.serial
+            heapq.heappush(self.timers, (due, self.serial, task, self.serial))
+
+    def _watch(self, task, fd, mask):
+        if (fd, mask) == (task.fd, task.mask) and self.tasks.get(fd) is task:
+            return
+        if fd != task.fd:
+            self._unwatch(task)
+        task.fd, task.mask = fd, mask
+        if fd is None:
+            return
+        (self.epoll.modify if self.tasks.get(fd) is task else self.epoll.register)(fd, mask)
+        self.tasks[fd] = task
+
+    def _unwatch(self, task):
+        if task.fd is not None and self.tasks.get(task.fd) is task:
+            del self.tasks[task.fd]
+            try:
+                self.epoll.unregister(task.fd)
+            except (OSError, ValueError):
+                pass             # its owner closed it already
+        task.fd = None
+
+    def _forget(self, task):
+        self._unwatch(task)
+        self.all.discard(task)
+
+    def end(self, task):
+        """Ends a coroutine; what it owns is given back in its own `finally`."""
+        self._forget(task)
+        task.run.close()
+
+    def close(self):
+        for task in list(self.all):
+            self.end(task)
+        self.epoll.close()
+        os.close(self.bell)
--- /dev/null
+++ b/granitespool/net/peers.py
@@ -0,0 +1,42 @@
+"""Datagrams between coordinators; owns the UDP socket."""
+import socket
+
+from granitespool.facade import PEERS
+from granitespool.net.loop import IN
+
+LONGEST = 256     # bytes of a datagram at most: the protocol's
+AT_ONCE = 64      # datagrams read in one turn: the others are served between
+
+
+class Peers:
+    def __init__(self, loop, coordinator, log, config):
+        self.loop, self.coordinator, self.log = loop, coordinator, log
+        self.peers, self.everyone = config["peers"], config["peers_all"]
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+        self.sock.bind(config["peer_listen"])
+        loop.spawn(self._read())
+
+    def _read(self):
+        with self.sock:
+            while True:
+                yield self.sock.fileno(), IN, None
+                for _ in range(AT_ONCE):
+                    try:
+                        data, sender = self.sock.recvfrom(LONGEST + 1)
+                    except OSError:  # nothing more, or an earlier datagram was refused
+                        break
+                    if sender in self.peers and len(data) <= LONGEST:
+                        self.coordinator.report(self.loop.now, "peer_said", sender=self.peers.index(sender),
+                                                contents=data.hex())
+                    else:
+                        self.log.event("dropped", peer="{}:{}".format(*sender), why="a datagram of no peer, or too long")
+
+    def send(self):
+        while (word := self.coordinator.pick(PEERS)) is not None:
+            peer, contents = word
+            data = bytes.fromhex(contents)
+            try:
+                if len(data) <= LONGEST and (where := self.everyone if peer < 0 else self.peers[peer]):
+                    self.sock.sendto(data, where)
+            except OSError:
+                pass              # late or never, as the protocol says
--- /dev/null
+++ b/granitespool/net/probes.py
@@ -0,0 +1,74 @@
+"""Probes: one coroutine for each health check in the air, which owns its socket."""
+import socket
+
+import h11
+
+from granitespool.facade import PROBES
+from granitespool.net.client import dial, receive, send
+from granitespool.net.loop import SECOND
+from granitespool.settings import load_map
+
+AT_ONCE = 64            # probes in the air at most: a bound on descriptors; the others wait their turn
+ANSWER = SECOND // 2    # ns from the start to the answer: half the planner's period
+DIAL = SECOND // 4      # ns for a connection to come up, where the settings name no time
+BODY_MOST = 4096        # bytes of a load report that are kept
+
+
+class Probes:
+    def __init__(self, loop, coordinator, log, config, addresses):
+        self.loop, self.coordinator, self.log, self.addresses = loop, coordinator, log, addresses
+        self.dial = config["settings"].get("connect_timeout") or DIAL
+        self.flying = 0
+
+    def start(self):
+        """Starts what is asked for, as far as there is room."""
+        while self.flying < AT_ONCE and (backend := self.coordinator.pick(PROBES)) is not None:
+            self.loop.spawn(self._probe(backend))
+
+    def _probe(self, backend):
+        started, load, status = self.loop.now, {}, "unreachable"
+        self.flying += 1
+        try:
+            if backend in self.addresses:
+                with socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK) as sock:
+                    yield from dial(sock, self.addresses[backend], started + self.dial)
+                    status = "timeout"
+                    status, load = yield from self._ask(sock, self.addresses[backend], started + ANSWER)
+        except TimeoutError:
+            pass                 # unreachable before the connection was up, timeout after
+        except (OSError, h11.ProtocolError):
+            status = "reset" if status == "timeout" else status
+        finally:
+            self.flying -= 1
+        # a turn of its own: the one that asked is not ended before the answer is reported
+        yield None, 0, self.loop.now
+        self.log.event("probed", backend=backend, status=status, ms=(self.loop.now - started) // 1_000_000)
+        self.coordinator.report(self.loop.now, "probed", backend=backend, status=status,
+                                took=self.loop.now - started, load=load)
+
+    @staticmethod
+    def _ask(sock, where, due):
+        http, code, body = h11.Connection(h11.CLIENT), None, b""
+        yield from send(sock, http.send(h11.Request(
+            method="GET", target="/metrics/load",
+            headers=[("Host", "{}:{}".format(*where)), ("Connection", "close")])), due)
+        http.send(h11.EndOfMessage())
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data((yield from receive(sock, due)))
+            elif isinstance(event, h11.Response):
+                code = event.status_code
+            elif isinstance(event, h11.Data):
+                body = (body + event.data)[:BODY_MOST]
+            else:
+                break
+        pairs = (pair.partition("=")[::2] for pair in body.decode("ascii", "replace").split(","))
+        return {200: "ok", 503: "full"}.get(code, "error"), load_map([(k.strip(), number(v)) for k, v in pairs])
+
+
+def number(text):
+    try:
+        return float(text)
+    except ValueError:
+        return None
--- /dev/null
+++ b/granitespool/net/service.py
@@ -0,0 +1,59 @@
+"""One coordinator on sockets: makes the parts, ends each turn, and gives all back at the end."""
+import traceback
+from random import Random
+
+from granitespool.facade import PEERS, PROBES, REMARKS, Coordinator
+from granitespool.net.buffers import Pool
+from granitespool.net.discovery import Discovery
+from granitespool.net.log import Log
+from granitespool.net.loop import Loop
+from granitespool.net.peers import Peers
+from granitespool.net.probes import Probes
+from granitespool.net.streams import Streams
+
+
+class Service:
+    """`run` serves until `stop` is called, which a signal handler may do."""
+
+    def __init__(self, config, log_fd):
+        self.log = Log(log_fd, name=config["name"])
+        self.loop = Loop(self._failed)
+        uniform = Random(config["seed"]).uniform
+        self.coordinator = Coordinator(config["settings"], config["seed"], self.loop.now)
+        self.discovery = Discovery(self.loop, self.coordinator, self.log, config, uniform)
+        self.probes = Probes(self.loop, self.coordinator, self.log, config, self.discovery.addresses)
+        self.peers = None
+        if config["settings"].get("peers") and config["peer_listen"]:
+            self.peers = Peers(self.loop, self.coordinator, self.log, config)
+        self.streams = Streams(self.loop, self.coordinator, self.log, Pool(), config)
+        self.log.event("serving", listen="{}:{}".format(*config["listen"]))
+
+    def _failed(self, error):
+        self.log.event("coroutine_failed", why="".join(traceback.format_exception(error)))
+
+    def _end_of_turn(self, now):
+        due = self.coordinator.tick(now)
+        for party in self.coordinator.parties():
+            if party == PROBES:
+                self.probes.start()
+            elif party == REMARKS:
+                while (text := self.coordinator.pick(REMARKS)) is not None:
+                    self.log.event("remark", text=text)
+            elif party == PEERS:
+                if self.peers:
+                    self.peers.send()
+            else:
+                self.streams.send(party)
+        self.log.flush()
+        return due
+
+    def run(self):
+        try:
+            self.loop.run(self._end_of_turn)
+        finally:
+            self.log.event("stopped")
+            self.loop.close()
+            self.log.close()
+
+    def stop(self):
+        self.loop.stop()
--- /dev/null
+++ b/granitespool/net/streams.py
@@ -0,0 +1,223 @@
+"""The coordinator's address: proxies' streams, collectors, and strangers who say nothing.
+
+Each connection is one coroutine, which owns its socket and its reader. A proxy's stream that is replaced by a
+later one of the same proxy ends without a leaving."""
+import errno
+import socket
+
+from granitespool.net.frames import PONG, Reader, updates
+from granitespool.net.loop import IN, OUT, SECOND
+from granitespool.settings import MS, BadInput, figure, load_map, need
+
+BACKLOG = 512             # connections the system holds for us: all proxies at once after a restart
+ACCEPTS = 64              # connections taken in one turn: the others are served between
+READ_MOST = 256 * 1024    # bytes read from one party in one turn: twice what may stand unread
+UNSENT_MOST = 64 * 1024   # bytes of answers that wait for one party: who asks more and reads none is cut off
+RESERVE = 96              # descriptors kept for probes, the list, peers, files
+SILENT = 20 * SECOND      # ns until a stranger who never sent a message is cut off
+FULL_WAIT = SECOND // 20  # ns between accepts while no descriptor is free
+
+
+class Connection:
+    def __init__(self, sock, peer, pool):
+        self.sock, self.peer, self.reader = sock, peer, Reader(pool)
+        self.role, self.proxy, self.zone, self.unsent, self.task = "stranger", None, None, b"", None
+
+
+class Streams:
+    def __init__(self, loop, coordinator, log, pool, config):
+        self.loop, self.coordinator, self.log, self.pool = loop, coordinator, log, pool
+        settings = config["settings"]
+        self.zones = set(settings.get("zones") or ())
+        self.classes = {kind.get("name") for kind in settings.get("classes") or ()}
+        self.proxies_expected = settings.get("proxies_expected") or 65535
+        self.most = max(8, config["sockets"] - RESERVE)
+        self.connections, self.proxies = {}, {}  # in order of age; number -> its current stream
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(config["listen"])
+        self.listener.listen(BACKLOG)
+        loop.spawn(self._accept())
+
+    def _accept(self):
+        with self.listener:
+            while True:
+                yield self.listener.fileno(), IN, None
+                for _ in range(ACCEPTS):
+                    try:
+                        sock, peer = self.listener.accept()
+                    except BlockingIOError:
+                        break
+                    except OSError as error:
+                        if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                            if not self._make_room():
+                                yield None, 0, self.loop.now + FULL_WAIT
+                        continue  # else: gone before it was taken
+                    sock.setblocking(False)
+                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                    self._take(sock, f"{peer[0]}:{peer[1]}")
+
+    def _take(self, sock, peer):
+        if len(self.connections) >= self.most:
+            self._make_room()
+        connection = Connection(sock, peer, self.pool)
+        self.connections[connection] = None
+        connection.task = self.loop.spawn(self._serve(connection))
+
+    def _make_room(self, but=None):
+        """Gives up the oldest stranger, or else the oldest collector; never a proxy's stream."""
+        for role in ("stranger", "collector"):
+            for connection in self.connections:
+                if connection.role == role and connection is not but:
+                    self.log.event("given_up", peer=connection.peer, role=role)
+                    self.loop.end(connection.task)
+                    return True
+        return False
+
+    def _serve(self, connection):
+        reason = "closed"
+        try:
+            silent = self.loop.now + SILENT
+            while True:
+                due = silent if connection.role == "stranger" else None
+                yield connection.sock.fileno(), IN | (OUT if connection.unsent else 0), due
+                if due is not None and self.loop.now >= due:
+                    reason = "silent"
+                    return
+                if connection.unsent:
+                    self._write(connection, b"")
+                if not self._read(connection):
+                    return
+        except BadInput as error:
+            reason = str(error)
+        except OSError as error:
+            reason = error.strerror or str(error)
+        finally:
+            self._end(connection, reason)
+
+    def _end(self, connection, reason):
+        del self.connections[connection]
+        connection.sock.close()
+        connection.reader.close()
+        if self.proxies.get(connection.proxy) is connection:
+            del self.proxies[connection.proxy]
+            self.coordinator.report(self.loop.now, "left", proxy=connection.proxy)
+        if connection.role != "stranger" or reason != "closed":
+            self.log.event("ended", peer=connection.peer, role=connection.role, proxy=connection.proxy, why=reason)
+
+    def _read(self, connection):
+        """Reads and reports what is there; False once the other side has ended."""
+        reader, total = connection.reader, 0
+        while total < READ_MOST:
+            view = reader.room()
+            if view is None and self._make_room(connection):
+                view = reader.room()
+            if view is None:
+                raise BadInput("no buffer is free for its message")
+            try:
+                size = connection.sock.recv_into(view)
+            except BlockingIOError:
+                if not reader.have:
+                    reader.close()
+                return True
+            if not size:
+                return False
+            total += size
+            reader.received(size)
+            for message in reader.messages():
+                self._message(connection, message)
+        return True
+
+    def _message(self, connection, message):
+        kind = message["type"]
+        if kind == "ping":
+            if len(connection.unsent) <= UNSENT_MOST:
+                self._write(connection, PONG)
+            elif connection.role != "proxy":
+                raise BadInput("it asks and does not read")
+        elif kind in ("joined", "collector"):
+            getattr(self, "_" + kind)(connection, message)
+        elif connection.role == "stranger":
+            raise BadInput(f"a {kind!r:.40} came before its sender said who it is")
+        elif kind in ("applied", "heard", "usage"):
+            try:
+                getattr(self, "_" + kind)(connection, message)
+            except BadInput as error:
+                self.log.event("dropped", peer=connection.peer, proxy=connection.proxy, why=str(error))
+        else:
+            self.log.event("dropped", peer=connection.peer, proxy=connection.proxy, why=f"unknown kind {kind!r:.40}")
+
+    def _one_of(self, message, key, known):
+        value = need(message, key, str)
+        if value not in known:
+            raise BadInput(f"the field {key!r} of a {message['type']!r} names the unknown {value!r:.60}")
+        return value
+
+    def _number(self, message):
+        number = figure(message, "node", int)
+        if number >= self.proxies_expected:
+            raise BadInput(f"a {message['type']!r} names the unknown proxy {number!r:.20}")
+        return number
+
+    def _collector(self, connection, message):
+        if connection.role != "stranger":
+            raise BadInput("it said twice who it is")
+        connection.zone = self._one_of(message, "locality", self.zones)
+        connection.role = "collector"
+        self.log.event("collector", peer=connection.peer, zone=connection.zone)
+
+    def _joined(self, connection, message):
+        if connection.role != "stranger":
+            raise BadInput("it said twice who it is")
+        number, zone = self._number(message), self._one_of(message, "locality", self.zones)
+        rate = message.get("w")
+        rate = figure(message, "w") if rate is not None else 0
+        cold = need(message, "cold", bool)
+        before = self.proxies.get(number)
+        connection.role, connection.proxy, connection.zone = "proxy", number, zone
+        self.proxies[number] = connection
+        self.log.event("joined", peer=connection.peer, proxy=number, zone=zone, cold=cold)
+        self.coordinator.report(self.loop.now, "joined", proxy=number, zone=zone, standing=cold, rate=rate)
+        if before:               # it has moved on: the old stream carries nothing more
+            self.loop.end(before.task)
+
+    def _applied(self, connection, message):
+        if connection.role == "proxy":
+            self.coordinator.report(self.loop.now, "applied", proxy=connection.proxy,
+                                    serial=need(message, "nonce", int), took=int(figure(message, "latency") * MS))
+
+    def _heard(self, connection, message):
+        self.coordinator.report(
+            self.loop.now, "heard", zone=self._one_of(message, "locality", self.zones),
+            backend=need(message, "endpoint", str), tries=figure(message, "total"),
+            failed=figure(message, "errors"), mean=int(figure(message, "rtt") * MS),
+            window=int(figure(message, "interval") * MS), load=load_map(message.get("metrics")))
+
+    def _usage(self, connection, message):
+        self.coordinator.report(
+            self.loop.now, "arrivals", proxy=self._number(message), grade=self._one_of(message, "route", self.classes),
+            number=figure(message, "total"), unanswered=figure(message, "errors"),
+            window=int(figure(message, "interval") * MS))
+
+    def _write(self, connection, data):
+        unsent = connection.unsent + data
+        try:
+            sent = connection.sock.send(unsent) if unsent else 0
+        except BlockingIOError:
+            sent = 0
+        connection.unsent = unsent[sent:]
+
+    def send(self, proxy):
+        """Writes a proxy's next order, unless it has not taken the one before: then orders merge."""
+        connection = self.proxies.get(proxy)
+        if connection is None or connection.unsent:
+            return
+        order = self.coordinator.pick(proxy)
+        if order is None:
+            return
+        try:
+            self._write(connection, updates(order))
+        except OSError:
+            pass                 # the coroutine meets the same end when it reads
+        if connection.unsent:
+            self.loop.poke(connection.task)
