Scenarios for the facade and the sockets; a stream that answers nothing counts as left

Text scenarios play a whole service on loopback, on a clock of the test's: frames in pieces, bad input of each kind, replaced streams, strangers, pressure on descriptors, buffers and the log, the list's watch, probes, datagrams, a wrong configuration, SIGTERM.

--- a/granitespool/facade.py
+++ b/granitespool/facade.py
@@ -1,4 +1,4 @@
-"""The planner in blocking style: report what was met, tick the time, pick what is next to be written to a party.
+"""The planner in blocking style: report what was met, tick the time, pick what is next for a party.
 
     coordinator.report(now, "heard", zone=..., backend=..., ...)   # any number, all with the turn's one time
     due = coordinator.tick(now)                                    # ends the turn; the time it is next due
@@ -19,7 +19,7 @@
 
 
 class Party:
-    """A joined proxy: the tables it is bound to, the backends it may hold shut out, and what is to be written."""
+    """A joined proxy: its tables, the backends it may hold shut out, and what is to be written to it."""
 
     def __init__(self, suspects):
         self.tables = {}             # classes (sum of 2**k) -> table
@@ -65,8 +65,11 @@
     def tick(self, now):
         """Lets the timers run that are due, ends the turn and returns when the next is due."""
         self.now = max(self.now, now)
+        due = []
         while self.timers and self.timers[0][0] <= self.now:
-            self._guarded(self.planner.timer, heapq.heappop(self.timers)[2])
+            due.append(heapq.heappop(self.timers)[2])
+        for cookie in due:
+            self._guarded(self.planner.timer, cookie)
         for proxy in self.touched:
             if self.mark_now is not None:
                 self.proxies[proxy].mark = self.mark_now
@@ -179,7 +182,7 @@
         (self.withdrawn.add if out else self.withdrawn.discard)(backend)
         for proxy, held in self.proxies.items():
             # Who is bound needs it where its tables hold the backend; else it follows with the line, if ever
-            if not held.tables or any(backend in self.tables.get(table, ()) for table in held.tables.values()):
+            if not held.tables or any(backend in self.tables.get(used, ()) for used in held.tables.values()):
                 self._shut(held, backend, out)
                 self.touched[proxy] = None
 
--- a/granitespool/net/__init__.py
+++ b/granitespool/net/__init__.py
@@ -1,1 +1,1 @@
-"""The sockets round the coordinator: one epoll loop, generators as coroutines, one owner for each resource."""
+"""The sockets round the coordinator: one epoll loop, generators as coroutines, one owner a resource."""
--- a/granitespool/net/config.py
+++ b/granitespool/net/config.py
@@ -31,7 +31,15 @@
         seed = int(seed, 16)
     except ValueError:
         raise BadInput(f"the seed {seed!r:.40} is not in hex digits") from None
-    limits = told.get("limits") or {}
+    limits, wire = told.get("limits") or {}, need(told, "settings", dict)
+    for key, kind in (("classes", list), ("zones", list), ("family_info", dict), ("rules", dict),
+                      ("permissions", dict)):
+        if not isinstance(wire.get(key) or kind(), kind):
+            raise BadInput(f"the settings' {key!r} are not a JSON {'array' if kind is list else 'object'}")
+    if not all(isinstance(each, dict) for each in wire.get("classes") or ()):
+        raise BadInput("the settings' 'classes' hold what is not an object")
+    if not isinstance(limits, dict):
+        raise BadInput("the limits are not a JSON object")
     return {
         "name": need(told, "name", str), "listen": address(need(told, "listen", str)),
         "discovery": address(need(told, "discovery", str)), "seed": seed,
@@ -40,7 +48,7 @@
         "peers": [address(peer) for peer in told.get("peers") or ()],
         "peers_all": address(told["peers_all"]) if told.get("peers_all") else None,
         "known": told.get("known") or {"index": 0, "endpoints": []},
-        "settings": settings_map(need(told, "settings", dict)),
+        "settings": settings_map(wire),
     }
 
 
--- a/granitespool/net/discovery.py
+++ b/granitespool/net/discovery.py
@@ -1,4 +1,6 @@
-"""Discovery: a watch of the list, dialled again whenever it ends or goes silent; the old list stays meanwhile."""
+"""Discovery: a watch of the list, dialled again whenever it ends or goes silent.
+
+The list that was last heard stays meanwhile."""
 import socket
 
 import h11
@@ -10,7 +12,7 @@
 from granitespool.settings import SOCKETS, BadInput, list_entry, need
 
 DIAL = SECOND                # ns for a connection to come up: the agent is on this machine
-BEAT = 5 * SECOND // 2       # ns without a byte after which a watch is dead: an empty line comes every 2 s
+BEAT = 9 * SECOND // 4       # ns without a byte after which a watch is dead: an empty line comes every 2 s
 WAIT_FIRST = SECOND // 20    # ns before the first new dialling
 WAIT_MOST = SECOND           # ns between diallings at most: the agent answers at no cost
 GROWTH = 2                   # factor from one wait to the next
--- a/granitespool/net/frames.py
+++ b/granitespool/net/frames.py
@@ -5,7 +5,7 @@
 
 LARGEST = 1 << 20    # bytes of a message at most: the protocol's
 PARTS = 64           # parts of a message at most: the protocol's
-PART_LINES = 4096    # lines in one part: some 200 bytes a line keep it under the largest message
+PART_LINES = 2048    # lines in one part: 500 bytes a line keep it under the largest message
 HEAD = 4             # bytes of length
 
 
@@ -68,11 +68,9 @@
 
     def _skip(self, size):
         self.first, self.have = self.first + size, self.have - size
-        while self.chain and self.first >= self.chain[0][1] and (self.have or self.chain[0][1] == self.pool.size):
+        while self.chain and self.first >= self.chain[0][1]:
             self.first -= self.chain[0][1]
             self.pool.give(self.chain.pop(0)[0])
-        if not self.have:
-            self.close()
 
     def close(self):
         while self.chain:
--- a/granitespool/net/log.py
+++ b/granitespool/net/log.py
@@ -2,23 +2,22 @@
 
 Owns the descriptor it writes to only so far as its blocking mode, which `close` puts back."""
 import os
-import time
 
 import orjson
 
-MOST = 256 * 1024  # bytes that wait for a reader at most: some thousand lines; later ones are counted and dropped
+MOST = 256 * 1024  # bytes that wait for a reader: some thousand lines; later ones are counted and dropped
 WORD = 2000        # characters of a value that are kept: a traceback's end
 
 
 class Log:
-    def __init__(self, fd, **always):
-        self.fd, self.always, self.waiting, self.size, self.dropped = fd, always, [], 0, 0
+    def __init__(self, fd, clock, **always):
+        self.fd, self.clock, self.always, self.waiting, self.size, self.dropped = fd, clock, always, [], 0, 0
         self.blocking = os.get_blocking(fd)
         os.set_blocking(fd, False)
 
     def event(self, name, **fields):
         fields = {key: value[-WORD:] if isinstance(value, str) else value for key, value in fields.items()}
-        line = orjson.dumps({"at_ms": time.time_ns() // 1_000_000, "event": name, **self.always, **fields},
+        line = orjson.dumps({"at_ms": self.clock() // 1_000_000, "event": name, **self.always, **fields},
                             default=str, option=orjson.OPT_APPEND_NEWLINE)
         if self.size + len(line) > MOST:
             self.dropped += 1
--- a/granitespool/net/loop.py
+++ b/granitespool/net/loop.py
@@ -1,8 +1,9 @@
 """The event loop: select.epoll, generators as coroutines, timers.
 
 A coroutine yields `(fd, mask, due)` and is resumed with the events met, or 0 once `due` (ns on the loop's
-clock, None: never) is past or it was poked; `fd` None only waits. It owns its descriptor, and closes it in its
-own `finally`. One turn resumes all that is ready with one `now`, then calls the `end_of_turn` it was given."""
+clock, None: never) is past or it was poked; `fd` None only waits. It owns its descriptor, and closes it in
+its own `finally`; before it opens another it waits once with `fd` None. One turn resumes all that is ready
+with one `now`, then calls the `end_of_turn` it was given."""
 import heapq
 import os
 import select
@@ -23,20 +24,18 @@
 
 
 class Loop:
-    def __init__(self, failed):
+    def __init__(self, failed, clock=None):
         self.failed = failed     # called with an exception that a coroutine did not catch
         self.epoll = select.epoll()
         self.tasks, self.timers, self.ready, self.serial = {}, [], deque(), 0
         self.all, self.stopped = set(), False
         # One clock comparable with Unix time, as discovery's times are, that never goes backward.
-        self.offset = time.time_ns() - time.monotonic_ns()
-        self.now = self.clock()
+        offset = time.time_ns() - time.monotonic_ns()
+        self.clock = clock or (lambda: time.monotonic_ns() + offset)
+        self.now, self.next_due = self.clock(), None
         self.bell = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
         self.epoll.register(self.bell, IN)
 
-    def clock(self):
-        return time.monotonic_ns() + self.offset
-
     def spawn(self, run):
         """Runs a coroutine to its first wait; so its `finally` holds from then on."""
         task = Task(run)
@@ -54,22 +53,26 @@
         os.eventfd_write(self.bell, 1)
 
     def run(self, end_of_turn):
-        next_due = None
         while not self.stopped:
-            dues = [due for due in (next_due, self.timers[0][0] if self.timers else None) if due is not None]
-            wait = min(dues, default=self.now + IDLE) - self.clock()
-            events = self.epoll.poll(0 if self.ready else max(0, min(wait, IDLE)) / SECOND, EVENTS)
-            self.now = self.clock()
-            for fd, mask in events:
-                if fd in self.tasks:
-                    self._resume(self.tasks[fd], mask)
-            while self.timers and self.timers[0][0] <= self.now:
-                _, _, task, wait = heapq.heappop(self.timers)
-                if task.wait == wait:
-                    self._resume(task, 0)
-            self._pokes()
-            next_due = end_of_turn(self.now)
-            self._pokes()
+            due = self.now + IDLE if self.next_due is None else self.next_due
+            if self.timers:
+                due = min(due, self.timers[0][0])
+            self.turn(end_of_turn, due - self.clock())
+
+    def turn(self, end_of_turn, wait):
+        """One turn, which waits for events for so many nanoseconds at most."""
+        events = self.epoll.poll(0 if self.ready else max(0, min(wait, IDLE)) / SECOND, EVENTS)
+        self.now = max(self.clock(), self.now + 1)  # no two turns share a time: each is a message of its own
+        for fd, mask in events:
+            if fd in self.tasks:
+                self._resume(self.tasks[fd], mask)
+        while self.timers and self.timers[0][0] <= self.now:
+            _, _, task, serial = heapq.heappop(self.timers)
+            if task.wait == serial:
+                self._resume(task, 0)
+        self._pokes()
+        self.next_due = end_of_turn(self.now)
+        self._pokes()
 
     def _pokes(self):
         for _ in range(len(self.ready)):
--- a/granitespool/net/peers.py
+++ b/granitespool/net/peers.py
@@ -29,7 +29,8 @@
                         self.coordinator.report(self.loop.now, "peer_said", sender=self.peers.index(sender),
                                                 contents=data.hex())
                     else:
-                        self.log.event("dropped", peer="{}:{}".format(*sender), why="a datagram of no peer, or too long")
+                        self.log.event("dropped", peer="{}:{}".format(*sender),
+                                       why="a datagram of no peer, or too long")
 
     def send(self):
         while (word := self.coordinator.pick(PEERS)) is not None:
--- a/granitespool/net/probes.py
+++ b/granitespool/net/probes.py
@@ -26,11 +26,13 @@
             self.loop.spawn(self._probe(backend))
 
     def _probe(self, backend):
-        started, load, status = self.loop.now, {}, "unreachable"
+        # "error" while nothing was asked yet: that no descriptor was free says nothing of the backend
+        started, load, status = self.loop.now, {}, "error"
         self.flying += 1
         try:
             if backend in self.addresses:
                 with socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK) as sock:
+                    status = "unreachable"
                     yield from dial(sock, self.addresses[backend], started + self.dial)
                     status = "timeout"
                     status, load = yield from self._ask(sock, self.addresses[backend], started + ANSWER)
@@ -64,7 +66,8 @@
             else:
                 break
         pairs = (pair.partition("=")[::2] for pair in body.decode("ascii", "replace").split(","))
-        return {200: "ok", 503: "full"}.get(code, "error"), load_map([(k.strip(), number(v)) for k, v in pairs])
+        load = load_map([(key.strip(), number(value)) for key, value in pairs])
+        return {200: "ok", 503: "full"}.get(code, "error"), load
 
 
 def number(text):
--- a/granitespool/net/service.py
+++ b/granitespool/net/service.py
@@ -15,9 +15,16 @@
 class Service:
     """`run` serves until `stop` is called, which a signal handler may do."""
 
-    def __init__(self, config, log_fd):
-        self.log = Log(log_fd, name=config["name"])
-        self.loop = Loop(self._failed)
+    def __init__(self, config, log_fd, clock=None):
+        self.loop = Loop(self._failed, clock)
+        self.log = Log(log_fd, self.loop.clock, name=config["name"])
+        try:
+            self._make(config)
+        except Exception:
+            self.close()
+            raise
+
+    def _make(self, config):
         uniform = Random(config["seed"]).uniform
         self.coordinator = Coordinator(config["settings"], config["seed"], self.loop.now)
         self.discovery = Discovery(self.loop, self.coordinator, self.log, config, uniform)
@@ -25,11 +32,12 @@
         self.peers = None
         if config["settings"].get("peers") and config["peer_listen"]:
             self.peers = Peers(self.loop, self.coordinator, self.log, config)
-        self.streams = Streams(self.loop, self.coordinator, self.log, Pool(), config)
+        self.streams = Streams(self.loop, self.coordinator, self.log, Pool(), config,
+                               self.discovery.addresses)
         self.log.event("serving", listen="{}:{}".format(*config["listen"]))
 
     def _failed(self, error):
-        self.log.event("coroutine_failed", why="".join(traceback.format_exception(error)))
+        self.log.event("failed", why="".join(traceback.format_exception(error)))
 
     def _end_of_turn(self, now):
         due = self.coordinator.tick(now)
@@ -43,7 +51,10 @@
                 if self.peers:
                     self.peers.send()
             else:
-                self.streams.send(party)
+                try:
+                    self.streams.send(party)
+                except Exception as error:  # one order that cannot be written ends no other's service
+                    self._failed(error)
         self.log.flush()
         return due
 
@@ -51,9 +62,16 @@
         try:
             self.loop.run(self._end_of_turn)
         finally:
-            self.log.event("stopped")
-            self.loop.close()
-            self.log.close()
+            self.close()
+
+    def turn(self, wait):
+        """One turn, for who has a loop of its own; `wait` in ns."""
+        self.loop.turn(self._end_of_turn, wait)
+
+    def close(self):
+        self.log.event("stopped")
+        self.loop.close()
+        self.log.close()
 
     def stop(self):
         self.loop.stop()
--- a/granitespool/net/streams.py
+++ b/granitespool/net/streams.py
@@ -15,17 +15,20 @@
 UNSENT_MOST = 64 * 1024   # bytes of answers that wait for one party: who asks more and reads none is cut off
 RESERVE = 96              # descriptors kept for probes, the list, peers, files
 SILENT = 20 * SECOND      # ns until a stranger who never sent a message is cut off
+UNHEARD = 6 * SECOND      # ns a proxy's stream may bring nothing after an order that asks for an answer
 FULL_WAIT = SECOND // 20  # ns between accepts while no descriptor is free
 
 
 class Connection:
     def __init__(self, sock, peer, pool):
         self.sock, self.peer, self.reader = sock, peer, Reader(pool)
-        self.role, self.proxy, self.zone, self.unsent, self.task = "stranger", None, None, b"", None
+        self.role, self.proxy, self.unsent, self.task = "stranger", None, b"", None
+        self.joining, self.asked, self.away = {}, None, False  # a proxy's words; asked when; counted as left
 
 
 class Streams:
-    def __init__(self, loop, coordinator, log, pool, config):
+    def __init__(self, loop, coordinator, log, pool, config, backends):
+        self.backends = backends                 # those the list has named
         self.loop, self.coordinator, self.log, self.pool = loop, coordinator, log, pool
         settings = config["settings"]
         self.zones = set(settings.get("zones") or ())
@@ -53,13 +56,13 @@
                             if not self._make_room():
                                 yield None, 0, self.loop.now + FULL_WAIT
                         continue  # else: gone before it was taken
-                    sock.setblocking(False)
-                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                     self._take(sock, f"{peer[0]}:{peer[1]}")
 
     def _take(self, sock, peer):
         if len(self.connections) >= self.most:
             self._make_room()
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = Connection(sock, peer, self.pool)
         self.connections[connection] = None
         connection.task = self.loop.spawn(self._serve(connection))
@@ -79,15 +82,21 @@
         try:
             silent = self.loop.now + SILENT
             while True:
-                due = silent if connection.role == "stranger" else None
-                yield connection.sock.fileno(), IN | (OUT if connection.unsent else 0), due
-                if due is not None and self.loop.now >= due:
-                    reason = "silent"
-                    return
+                due = connection.asked and connection.asked + UNHEARD
+                due = silent if connection.role == "stranger" else due
+                events = yield connection.sock.fileno(), IN | (OUT if connection.unsent else 0), due
+                if not events and due and self.loop.now >= due:
+                    if connection.role == "stranger":
+                        reason = "silent"
+                        return
+                    self._away(connection)
                 if connection.unsent:
                     self._write(connection, b"")
                 if not self._read(connection):
                     return
+        except GeneratorExit:
+            reason = "given up"
+            raise
         except BadInput as error:
             reason = str(error)
         except OSError as error:
@@ -101,9 +110,25 @@
         connection.reader.close()
         if self.proxies.get(connection.proxy) is connection:
             del self.proxies[connection.proxy]
-            self.coordinator.report(self.loop.now, "left", proxy=connection.proxy)
+            if not connection.away:
+                self.coordinator.report(self.loop.now, "left", proxy=connection.proxy)
+        elif connection.role == "proxy":
+            reason = "replaced"
         if connection.role != "stranger" or reason != "closed":
-            self.log.event("ended", peer=connection.peer, role=connection.role, proxy=connection.proxy, why=reason)
+            self.log.event("ended", peer=connection.peer, role=connection.role, proxy=connection.proxy,
+                           why=reason)
+
+    def _away(self, connection):
+        """A proxy that answers no mark and reports nothing is cut off: it counts as left until it speaks,
+        so that nothing is booked or written for it. Its stream stays: it is the proxy's to end."""
+        connection.away, connection.asked = True, None
+        self.log.event("away", peer=connection.peer, proxy=connection.proxy)
+        self.coordinator.report(self.loop.now, "left", proxy=connection.proxy)
+
+    def _back(self, connection):
+        connection.away = False
+        self.log.event("back", peer=connection.peer, proxy=connection.proxy)
+        self.coordinator.report(self.loop.now, "joined", **{**connection.joining, "standing": False})
 
     def _read(self, connection):
         """Reads and reports what is there; False once the other side has ended."""
@@ -123,6 +148,9 @@
             if not size:
                 return False
             total += size
+            connection.asked = None
+            if connection.away:
+                self._back(connection)
             reader.received(size)
             for message in reader.messages():
                 self._message(connection, message)
@@ -135,7 +163,7 @@
                 self._write(connection, PONG)
             elif connection.role != "proxy":
                 raise BadInput("it asks and does not read")
-        elif kind in ("joined", "collector"):
+        elif connection.role == "stranger" and kind in ("joined", "collector"):
             getattr(self, "_" + kind)(connection, message)
         elif connection.role == "stranger":
             raise BadInput(f"a {kind!r:.40} came before its sender said who it is")
@@ -145,7 +173,8 @@
             except BadInput as error:
                 self.log.event("dropped", peer=connection.peer, proxy=connection.proxy, why=str(error))
         else:
-            self.log.event("dropped", peer=connection.peer, proxy=connection.proxy, why=f"unknown kind {kind!r:.40}")
+            self.log.event("dropped", peer=connection.peer, proxy=connection.proxy,
+                           why=f"a {kind!r:.40} has no place here")
 
     def _one_of(self, message, key, known):
         value = need(message, key, str)
@@ -160,44 +189,42 @@
         return number
 
     def _collector(self, connection, message):
-        if connection.role != "stranger":
-            raise BadInput("it said twice who it is")
-        connection.zone = self._one_of(message, "locality", self.zones)
+        zone = self._one_of(message, "locality", self.zones)
         connection.role = "collector"
-        self.log.event("collector", peer=connection.peer, zone=connection.zone)
+        self.log.event("collector", peer=connection.peer, zone=zone)
 
     def _joined(self, connection, message):
-        if connection.role != "stranger":
-            raise BadInput("it said twice who it is")
         number, zone = self._number(message), self._one_of(message, "locality", self.zones)
         rate = message.get("w")
         rate = figure(message, "w") if rate is not None else 0
         cold = need(message, "cold", bool)
         before = self.proxies.get(number)
-        connection.role, connection.proxy, connection.zone = "proxy", number, zone
+        connection.role, connection.proxy = "proxy", number
+        connection.joining = {"proxy": number, "zone": zone, "standing": cold, "rate": rate}
         self.proxies[number] = connection
         self.log.event("joined", peer=connection.peer, proxy=number, zone=zone, cold=cold)
-        self.coordinator.report(self.loop.now, "joined", proxy=number, zone=zone, standing=cold, rate=rate)
+        self.coordinator.report(self.loop.now, "joined", **connection.joining)
         if before:               # it has moved on: the old stream carries nothing more
             self.loop.end(before.task)
 
     def _applied(self, connection, message):
         if connection.role == "proxy":
-            self.coordinator.report(self.loop.now, "applied", proxy=connection.proxy,
-                                    serial=need(message, "nonce", int), took=int(figure(message, "latency") * MS))
+            self.coordinator.report(
+                self.loop.now, "applied", proxy=connection.proxy, serial=need(message, "nonce", int),
+                took=int(figure(message, "latency") * MS))
 
     def _heard(self, connection, message):
         self.coordinator.report(
             self.loop.now, "heard", zone=self._one_of(message, "locality", self.zones),
-            backend=need(message, "endpoint", str), tries=figure(message, "total"),
+            backend=self._one_of(message, "endpoint", self.backends), tries=figure(message, "total"),
             failed=figure(message, "errors"), mean=int(figure(message, "rtt") * MS),
             window=int(figure(message, "interval") * MS), load=load_map(message.get("metrics")))
 
     def _usage(self, connection, message):
         self.coordinator.report(
-            self.loop.now, "arrivals", proxy=self._number(message), grade=self._one_of(message, "route", self.classes),
-            number=figure(message, "total"), unanswered=figure(message, "errors"),
-            window=int(figure(message, "interval") * MS))
+            self.loop.now, "arrivals", proxy=self._number(message),
+            grade=self._one_of(message, "route", self.classes), number=figure(message, "total"),
+            unanswered=figure(message, "errors"), window=int(figure(message, "interval") * MS))
 
     def _write(self, connection, data):
         unsent = connection.unsent + data
@@ -219,5 +246,6 @@
             self._write(connection, updates(order))
         except OSError:
             pass                 # the coroutine meets the same end when it reads
-        if connection.unsent:
-            self.loop.poke(connection.task)
+        if order["mark"] is not None and connection.asked is None:
+            connection.asked = self.loop.now
+        self.loop.poke(connection.task)          # it waits anew, for the socket or for the answer
--- a/granitespool/settings.py
+++ b/granitespool/settings.py
@@ -5,6 +5,7 @@
 from math import isfinite
 
 NUM = (int, float)
+MOST = 1e15     # a figure above it is no count, time or weight: it would not fit the arithmetic
 US = 1_000      # nanoseconds in a microsecond: the settings' times and the simulator's
 MS = 1_000_000  # nanoseconds in a millisecond: the sockets' times
 
@@ -65,8 +66,8 @@
 def figure(item, key, kind=NUM):
     """A number that must be there and is not below 0."""
     value = need(item, key, kind)
-    if value < 0:
-        raise BadInput(f"the field {key!r} of a {item.get('type', 'list entry')!r:.40} is below 0")
+    if not 0 <= value <= MOST:
+        raise BadInput(f"the field {key!r} of a {item.get('type', 'list entry')!r:.40} is {value!r:.40}")
     return value
 
 
@@ -78,7 +79,7 @@
         for part in path.split("."):
             value = value.get(part) if isinstance(value, dict) else None
         if value is not None:
-            result[ours] = int(value * US) if is_time else value
+            result[ours] = int(figure({"type": "settings", path: value}, path) * US) if is_time else value
     return result
 
 
@@ -108,6 +109,6 @@
     return {"backend": need(row, names["backend"], str), "zone": row.get("zone"),
             "kind": row.get(names["kind"]), "cell": row.get(names["cell"]),
             "phase": names["phases"].get(need(row, names["phase"], str), "gone"),
-            "weight": 1 if weight is None else need(row, "weight", NUM),
+            "weight": 1 if weight is None else figure(row, "weight"),
             "started": 0 if row.get(names["started"]) is None else
-            int(need(row, names["started"], NUM) * names["unit"])}
+            int(figure(row, names["started"]) * names["unit"])}
--- a/granitespool/wirehost.py
+++ b/granitespool/wirehost.py
@@ -69,7 +69,8 @@
 # event -> call on the planner; `e` is the event, `now` the batch clock
 CALLS = {
     "backends_changed": lambda p, now, e: p.list_news(
-        now, FORM.get(need(e, "form", str), "failed"), [list_entry(r, SIMULATED) for r in e.get("rows_in") or []]),
+        now, FORM.get(need(e, "form", str), "failed"),
+        [list_entry(r, SIMULATED) for r in e.get("rows_in") or []]),
     "tick_due": lambda p, now, e: p.timer(now, need(e, "cookie", str)),
     "echo": lambda p, now, e: p.probed(now, need(e, "backend", str),
                                        ANSWER.get(need(e, "state_code", str), "error"),
@@ -80,7 +81,8 @@
     "left": lambda p, now, e: p.left(now, need(e, "agent", int)),
     "heard": lambda p, now, e: p.heard(now, need(e, "zone", str), need(e, "backend", str),
                                        need(e, "number", NUM), need(e, "bad", NUM),
-                                       time(e, "spent_us"), time(e, "window_us"), load_map(e.get("health_info"))),
+                                       time(e, "spent_us"), time(e, "window_us"),
+                                       load_map(e.get("health_info"))),
     "arrivals": lambda p, now, e: p.arrivals(now, need(e, "agent", int), need(e, "grade", str),
                                              need(e, "number", NUM), need(e, "bad", NUM),
                                              time(e, "window_us")),
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -1,6 +1,33 @@
 """Plays one scenario: a planner on a host that notes what is asked; tests/README.md has the notation."""
+import os
+import socket
+from collections import defaultdict
+from contextlib import suppress
+from inspect import signature
+
+from granitespool.facade import Coordinator
+from granitespool.net.service import Service
 from granitespool.rules import Planner
 
+
+def accepted(listener):
+    with suppress(BlockingIOError):
+        sock = listener.accept()[0]
+        sock.setblocking(False)
+        return sock
+
+
+def received(sock):
+    """What stands there to be read as text, `<end>` for the end of the connection."""
+    try:
+        return sock.recv(1 << 20).decode("latin1") or "<end>"
+    except BlockingIOError:
+        return ""
+    except OSError:
+        return "<end>"
+
+
+EPOCH = 10**18  # ns: the clock of a service's scenario begins here
 UNITS = {"ms": 1_000_000, "us": 1_000, "s": 1_000_000_000}
 
 
@@ -40,6 +67,9 @@
         verb, *words = line.split()
         getattr(self, "do_" + verb)(*words)
 
+    def end(self):
+        """Gives back what the scenario opened."""
+
     def do_set(self, *pairs):
         self.settings.update((k, value(v)) for k, v in (pair.split("=") for pair in pairs))
 
@@ -62,8 +92,8 @@
         for entry in entries:  # id:zone[:weight[:phase[:started]]]
             usual = ["1", "ready", "0"][entry.count(":") - 1:]
             name, zone, weight, phase, started = (entry.split(":") + usual)[:5]
-            rows.append({"backend": name, "zone": zone, "kind": None, "cell": 0, "phase": phase, "weight": value(weight),
-                         "started": value(started)})
+            rows.append({"backend": name, "zone": zone, "kind": None, "cell": 0, "phase": phase,
+                         "weight": value(weight), "started": value(started)})
         self.begin().list_news(self.now, form, rows)
 
     def do_join(self, proxy, zone):
@@ -108,3 +138,262 @@
     def do_count(self, number, *words):
         text = " ".join(words)
         assert sum(call.startswith(text) for call in self.calls) == int(number), self.calls
+
+
+class Desk(Stage):
+    """A facade and its planner; `host` speaks for the planner, `gets` shows what a proxy would be written."""
+
+    def begin(self):
+        if not self.planner:
+            self.facade = Coordinator(self.settings, 1, self.now)
+            self.planner = self
+        return self
+
+    def __getattr__(self, name):     # the planner's methods, as reports
+        words = signature(getattr(Planner, name)).parameters
+        return lambda now, *args: self.facade.report(now, name, **dict(zip([*words][2:], args)))
+
+    def do_at(self, when):
+        self.begin()
+        end = value(when)
+        while (due := self.facade.tick(self.now)) is not None and due <= end:
+            self.now = due
+        self.now = end
+
+    def do_host(self, call, *words):
+        getattr(self.begin().facade, call)(*map(value, words))
+
+    def do_gets(self, proxy, *words):
+        self.facade.tick(self.now)
+        order = self.facade.pick(int(proxy))
+        assert self.text(order) == " ".join(words), self.text(order)
+
+    @staticmethod
+    def text(order):
+        if not order:
+            return "nothing"
+        parts = [" ".join(["whole" if whole else "lines",
+                           *([",".join(classes)] if classes is not None else []),
+                           *(f"{b}={w:g}" for b, w in lines)]) for classes, whole, lines in order["tables"]]
+        parts += [f"level {','.join(classes) if classes is not None else 'all'} {share:g} {retries}"
+                  for classes, share, retries in order["levels"]]
+        parts += [f"{key} {' '.join(order[key])}" for key in ("out", "back") if order[key]]
+        return " | ".join([*parts, *(["mark"] if order["mark"] is not None else [])])
+
+
+class Sockets(Stage):
+    """A whole service on loopback in this thread, on a clock of ours, with stand-ins for all others."""
+
+    TURNS, PAUSE = 400, 5_000_000    # turns that an expectation is waited for, ns each
+
+    def __init__(self):
+        super().__init__()
+        self.now, self.known, self.service, self.parties, self.got = EPOCH, [], None, {}, defaultdict(str)
+        self.answers, self.addresses, self.watches, self.asked = {}, {}, [], ""
+        self.settings.update(proxies_expected=600, probes=False)
+        self.limits, self.discovery, self.pipe = 1024, socket.create_server(("127.0.0.1", 0)), os.pipe()
+        self.peer, self.stranger = (socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(2))
+        for sock in (self.peer, self.stranger):
+            sock.bind(("127.0.0.1", 0))
+        os.set_blocking(self.pipe[0], False)
+        self.discovery.setblocking(False)
+        self.log, self.reads, self.probing, self.deaf = "", True, [], set()
+
+    def begin(self):
+        if not self.service:
+            self.service = Service({
+                "name": "t", "listen": ("127.0.0.1", 0), "discovery": self.discovery.getsockname(), "seed": 1,
+                "sockets": self.limits, "peer_listen": ("127.0.0.1", 0), "peers": [self.peer.getsockname()],
+                "peers_all": self.peer.getsockname(), "known": {"index": 7, "endpoints": self.known},
+                "settings": self.settings}, self.pipe[1], lambda: self.now)
+        return self.service
+
+    def end(self):
+        if self.service:
+            self.service.close()
+            left = self.service.streams.pool.out, self.service.loop.all, self.service.coordinator.proxies
+            assert left == (0, set(), {}), left
+        for sock in (self.discovery, self.peer, self.stranger, *self.parties.values(), *self.watches,
+                     *(each[0] for each in [*self.answers.values(), *self.probing])):
+            sock.close()
+        for fd in self.pipe:
+            os.close(fd)
+
+    def __getattr__(self, name):
+        raise AttributeError(name)
+
+    def turn(self, wait=0):
+        self.begin().turn(wait)
+        for backend, (listener, _) in self.answers.items():
+            if sock := accepted(listener):
+                self.probing.append((sock, backend))
+        for sock, backend in list(self.probing):
+            if backend in self.answers and self.answers[backend][1] and received(sock):
+                sock.sendall(self.answers[backend][1].encode())
+                sock.close()
+                self.probing.remove((sock, backend))
+        if sock := accepted(self.discovery):
+            self.watches.append(sock)
+        for sock in self.watches:
+            self.asked += received(sock)
+        for name, sock in self.parties.items():
+            if name not in self.deaf and not self.got[name].endswith("<end>"):
+                self.got[name] += received(sock)
+        if self.reads:
+            with suppress(BlockingIOError):
+                self.log += os.read(self.pipe[0], 1 << 20).decode()
+
+    def until(self, check, told):
+        for _ in range(self.TURNS):
+            if check():
+                return
+            self.turn(self.PAUSE)
+        assert check(), (told, self.log[-3000:], dict(self.got))
+
+    def do_limits(self, sockets):
+        self.limits = int(sockets)
+
+    def do_known(self, *entries):
+        for entry in entries:
+            name, zone = entry.split(":")
+            listener = socket.create_server(("127.0.0.1", 0))
+            listener.setblocking(False)
+            self.answers[name] = listener, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nutil=0.25"
+            self.addresses[name] = "{}:{}".format(*listener.getsockname())
+            self.known.append({"name": name, "address": self.addresses[name], "zone": zone, "type": "m",
+                               "group": 0, "status": "ready", "weight": 1.0, "since_ms": 0})
+
+    def do_answers(self, backend, *words):  # what this backend's probes get; nothing: silence
+        self.answers[backend] = self.answers[backend][0], " ".join(words).encode().decode("unicode_escape")
+
+    def do_dies(self, backend):
+        self.answers.pop(backend)[0].close()
+
+    def do_at(self, when):
+        self.turn()
+        while self.now < EPOCH + value(when):
+            self.now = min(self.now + 100_000_000, EPOCH + value(when))
+            self.turn()
+
+    def do_open(self, name, times="1"):
+        for k in range(int(times)):
+            sock = socket.create_connection(self.begin().streams.listener.getsockname())
+            sock.setblocking(False)
+            self.parties[name if times == "1" else f"{name}{k}"] = sock
+            self.turn()
+
+    def send(self, name, data):
+        view = memoryview(data)
+        for _ in range(self.TURNS * 50):
+            with suppress(BlockingIOError, ConnectionError):
+                view = view[self.parties[name].send(view):]
+            if not view or "<end>" in self.got[name]:
+                return
+            self.turn()
+        assert not view, "not taken"
+
+    def do_say(self, name, *words):  # one message; `{0..N}` repeats it
+        body = " ".join(words).encode()
+        self.send(name, len(body).to_bytes(4, "little") + body)
+        self.turn()
+
+    def do_trickle(self, name, *words):  # the same, a byte a turn
+        body = " ".join(words).encode()
+        for byte in len(body).to_bytes(4, "little") + body:
+            self.send(name, bytes([byte]))
+            self.turn()
+
+    def do_many(self, times, name, *words):  # the same many times, written at once
+        body = " ".join(words).encode()
+        self.send(name, (len(body).to_bytes(4, "little") + body) * int(times))
+
+    def do_raw(self, name, text):
+        self.send(name, bytes.fromhex(text))
+        self.turn()
+
+    def do_fill(self, name, size):   # the beginning of a message of this size, its last byte missing
+        self.send(name, int(size).to_bytes(4, "little"))
+        for at in range(0, int(size) - 1, 60_000):
+            self.send(name, b" " * min(60_000, int(size) - 1 - at))
+            self.turn()
+
+    def do_joins(self, name, proxy, zone):
+        self.do_open(name)
+        self.do_say(name, f'{{"type":"joined","node":{proxy},"locality":"{zone}","w":5.0,"cold":true}}')
+
+    def do_hangup(self, name):
+        self.parties[name].close()
+        del self.parties[name]
+        self.turn()
+
+    def do_gets(self, name, *words):
+        self.until(lambda: " ".join(words) in self.got[name], (name, words))
+
+    def do_never(self, name, *words):    # what was ordered before the pong came before it
+        self.do_alive(name)
+        assert " ".join(words) not in self.got[name], self.got[name]
+
+    def do_deaf(self, name):             # it reads nothing any more
+        self.deaf.add(name)
+
+    def do_hears(self, name):
+        self.deaf.discard(name)
+
+    def do_forget(self, name):
+        self.got[name] = ""
+
+    def do_alive(self, name):
+        before = self.got[name].count('"pong"')
+        self.do_say(name, '{"type":"ping"}')
+        self.until(lambda: self.got[name].count('"pong"') > before, (name, "pong"))
+
+    def do_ended(self, name):
+        self.do_gets(name, "<end>")
+
+    def do_logged(self, *words):
+        self.until(lambda: " ".join(words) in self.log, words)
+
+    def do_unlogged(self, *words):
+        assert " ".join(words) not in self.log, self.log
+
+    def do_unread(self):                 # nobody reads the log
+        self.reads = False
+
+    def do_read(self):
+        self.reads = True
+
+    def do_joined(self, *numbers):
+        self.until(lambda: sorted(self.service.coordinator.proxies) == [*map(int, numbers)], numbers)
+
+    def do_asked(self, *words):          # discovery was asked this since it was last looked at
+        self.until(lambda: " ".join(words) in self.asked, (words, self.asked))
+        self.asked = ""
+
+    def do_unasked(self):
+        assert not self.asked, self.asked
+
+    def do_grants(self):                 # discovery accepts the watch
+        self.do_tells("HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n")
+
+    def do_tells(self, *words):          # discovery's words on the latest watch, \n and \r as escapes
+        self.until(lambda: self.watches, "a watch")
+        self.watches[-1].sendall(" ".join(words).encode().decode("unicode_escape").encode())
+        self.turn()
+
+    def do_news(self, *words):           # a chunk of a line
+        line = " ".join(words) + "\n"
+        for name, where in self.addresses.items():
+            line = line.replace(f"@{name}", where)
+        self.watches[-1].sendall(f"{len(line):x}\r\n{line}\r\n".encode())
+        self.turn()
+
+    def do_breaks(self):                 # discovery resets the watch
+        self.watches.pop().close()
+        self.turn()
+
+    def do_datagram(self, who, text):
+        getattr(self, who).sendto(bytes.fromhex(text), self.begin().peers.sock.getsockname())
+        self.turn()
+
+    def do_memory(self, most):           # buffers out at most
+        assert self.service.streams.pool.out <= int(most), self.service.streams.pool.out
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,27 +1,71 @@
 """One runner for all scenarios, and the adapter's plain words on bad input."""
 import io
 import json
+import os
 import pathlib
+import socket
+import subprocess
 import sys
 
 import pytest
+from stage import Desk, Sockets, Stage
 
 from granitespool import wirehost
-from stage import Stage
+from granitespool.__main__ import main
 
 SCENARIOS = [(path.stem, *block.partition("\n")[::2])
              for path in sorted((pathlib.Path(__file__).parent / "scenarios").glob("*.txt"))
              for block in path.read_text().split("== ")[1:]]
 
 
-@pytest.mark.parametrize("text", [pytest.param(text, id=f"{file}: {name}") for file, name, text in SCENARIOS])
-def test_scenario(text):
-    stage = Stage()
-    for line in text.splitlines():
-        for step in line.split("; ") if line and not line.startswith("#") else ():
-            stage.play(step)
-
-
+@pytest.mark.parametrize("file, text", [
+    pytest.param(file, text, id=f"{file}: {name}") for file, name, text in SCENARIOS])
+def test_scenario(file, text):
+    stage = {"facade": Desk, "sockets": Sockets}.get(file, Stage)()
+    try:
+        for line in text.splitlines():
+            for step in line.split("; ") if line and not line.startswith("#") else ():
+                stage.play(step)
+    finally:
+        stage.end()
+
+
+@pytest.mark.parametrize("told, words", [
+    (None, "names no file"), ("/nowhere/at/all", "cannot be read"), ("{", "not JSON"),
+    ("[]", "not an object"),
+    ("{}", "'settings'"), ({"listen": "x"}, "not an address"), ({"listen": "a:99999"}, "not an address"),
+    ({"seed": "xyz"}, "not in hex"), ({"settings": None}, "'settings'"),
+    ({"settings": {"classes": {"a": 1}}}, "'classes'"),
+    ({"settings": {"rules": {"cold_us": "long"}}}, "rules.cold_us"), ({"limits": 5}, "limits"),
+    ({"known": {"index": 1}}, "'endpoints'"), ("taken", "in use")])
+def test_a_wrong_configuration_is_one_sentence(monkeypatch, capsys, tmp_path, told, words):
+    taken = socket.create_server(("127.0.0.1", 0))
+    if told == "taken":
+        told = {"listen": "{}:{}".format(*taken.getsockname())}
+    if told and told != "/nowhere/at/all":
+        path = tmp_path / "config.json"
+        path.write_text(told if isinstance(told, str) else json.dumps({**CONFIG, **told}))
+        told = str(path)
+    monkeypatch.setenv("LB_CONFIG", told or "")
+    monkeypatch.setattr(sys, "stdout", open(os.devnull, "w"))
+    code = main([])
+    err = capsys.readouterr().err
+    assert code == 1 and words in err and err.count("\n") == 1
+
+
+def test_a_process_serves_until_sigterm(tmp_path):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(CONFIG))
+    with subprocess.Popen([sys.executable, "-m", "granitespool", "serve", "--config", path], text=True,
+                          stdout=subprocess.PIPE, stderr=subprocess.PIPE) as process:
+        assert any('"serving"' in line for line in iter(process.stdout.readline, ""))
+        process.terminate()
+        out, err = process.communicate(timeout=30)
+    assert process.returncode == 0 and err == "" and '"stopped"' in out
+
+
+CONFIG = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1f",
+          "settings": {"zones": ["n"]}}
 START = {"type": "start", "coordinator": 0, "entropy": 1, "settings": {"zones": ["n"], "unknown": 1}}
 LIST = {"type": "backends_changed", "coordinator": 0, "form": "restored", "serial": 0, "new_key": 2,
         "rows_in": [{"backend": "a:1", "zone": "n", "phase": "live", "weight": None, "since_us": None}]}
