Start from the first list that names anyone; an entry with a bad address still counts

With nothing in the configuration's list the watch's first message came as news: every backend was new, at a quarter weight, and waited for a probe. It is now what the planner starts from. A drain told with an address that cannot be read is reported, only its place to probe is not.

--- a/granitespool/net/discovery.py
+++ b/granitespool/net/discovery.py
@@ -23,28 +23,40 @@
 class Discovery:
     def __init__(self, loop, coordinator, log, config, uniform):
         self.loop, self.coordinator, self.log, self.uniform = loop, coordinator, log, uniform
-        self.where, self.index, self.addresses = config["discovery"], 0, {}
-        self.news(config["known"], "restored")
+        self.where, self.index, self.started = config["discovery"], 0, False
+        self.addresses = {}          # of every backend that was ever listed; None where none was told
+        self.news(config["known"])
         loop.spawn(self._watch())
 
-    def news(self, message, form=None):
+    def news(self, message):
         """Reports one message of the list; an entry that is wrong is left out."""
         message = {"type": "list", **message} if isinstance(message, dict) else {"type": "list"}
-        entries, whole = [], form or ("whole" if message.get("snapshot") else "changes")
-        index = need(message, "index", int)
+        index, entries = need(message, "index", int), []
+        form = "whole" if message.get("snapshot") else "changes"
         for row in need(message, "endpoints", list):
             try:
                 entry = list_entry(row, SOCKETS)
-                if row.get("address"):
-                    self.addresses[entry["backend"]] = address(row["address"])
-                entries.append(entry)
             except BadInput as error:
                 self.log.event("entry_dropped", why=str(error))
-                whole = form or "changes"  # what cannot be read is not gone: nobody leaves by being left out
+                form = "changes"     # what cannot be read is not gone: nobody leaves by being left out
+                continue
+            entries.append(entry)
+            self._address(entry["backend"], row.get("address"))
         self.index = index
-        if form or entries or whole == "whole":
-            self.coordinator.report(self.loop.now, "list_news", form=whole, entries=entries)
-        self.log.event("list", form=whole, index=index, entries=len(entries))
+        if not self.addresses:
+            return                   # the first list that names anyone is the one to start from
+        if not self.started:
+            self.started, form = True, "restored"
+        if entries or form != "changes":
+            self.coordinator.report(self.loop.now, "list_news", form=form, entries=entries)
+        self.log.event("list", form=form, index=index, entries=len(entries))
+
+    def _address(self, backend, told):
+        known = self.addresses.setdefault(backend)
+        try:
+            self.addresses[backend] = address(told) if told else known
+        except BadInput as error:    # the entry holds, it only cannot be probed at a new place
+            self.log.event("entry_dropped", backend=backend, why=str(error))
 
     def _watch(self):
         wait = WAIT_FIRST
--- a/granitespool/net/probes.py
+++ b/granitespool/net/probes.py
@@ -30,12 +30,12 @@
         started, load, status = self.loop.now, {}, "error"
         self.flying += 1
         try:
-            if backend in self.addresses:
+            if where := self.addresses.get(backend):
                 with socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK) as sock:
                     status = "unreachable"
-                    yield from dial(sock, self.addresses[backend], started + self.dial)
+                    yield from dial(sock, where, started + self.dial)
                     status = "timeout"
-                    status, load = yield from self._ask(sock, self.addresses[backend], started + ANSWER)
+                    status, load = yield from self._ask(sock, where, started + ANSWER)
         except TimeoutError:
             pass                 # unreachable before the connection was up, timeout after
         except (OSError, h11.ProtocolError):
