--- a/granitespool/settings.py
+++ b/granitespool/settings.py
@@ -5,7 +5,7 @@
 from math import isfinite
 
 NUM = (int, float)
-MOST = 1e15     # a figure above it is no count, time or weight: it would not fit the arithmetic
+MOST = 1e18     # a figure above it is no count, time or weight: Unix time in microseconds is a thousandth
 US = 1_000      # nanoseconds in a microsecond: the settings' times and the simulator's
 MS = 1_000_000  # nanoseconds in a millisecond: the sockets' times
 
@@ -79,7 +79,7 @@
         for part in path.split("."):
             value = value.get(part) if isinstance(value, dict) else None
         if value is not None:
-            result[ours] = int(figure({"type": "settings", path: value}, path) * US) if is_time else value
+            result[ours] = int(need({"type": "settings", path: value}, path, NUM) * US) if is_time else value
     return result
 
 
