--- a/tests/stage.py
+++ b/tests/stage.py
@@ -379,6 +379,9 @@
     def do_logged(self, *words):
         self.until(lambda: " ".join(words) in self.log, words)
 
+    def do_dropped(self, number):
+        self.until(lambda: self.log.count('"dropped"') == int(number), number)
+
     def do_unlogged(self, *words):
         assert " ".join(words) not in self.log, self.log
 
@@ -467,8 +470,8 @@
         self.watches.pop().close()
         self.turn()
 
-    def do_datagram(self, who, text):
-        getattr(self, who).sendto(bytes.fromhex(text), self.begin().peers.sock.getsockname())
+    def do_datagram(self, who, text, times="1"):
+        getattr(self, who).sendto(bytes.fromhex(text) * int(times), self.begin().peers.sock.getsockname())
         self.turn()
 
     def do_memory(self, most):           # buffers out at most
