SIGHUP reads the configuration anew and moves the list's watch

Checked: the exit code is the default action of SIGHUP, so nothing else was looked for; __main__.main set handlers for SIGTERM and SIGINT only, and Discovery, Streams, Probes and Peers took the configuration in __init__ alone. Changed: the handler wakes the loop; Service._new_config reads the whole file, and each part takes its own (new_config, Planner.new_settings). A scenario of a zone that the settings did not name before also showed Planner._bind binding a proxy twice in one turn (KeyError, logged as a remark): it binds who is unbound only.

--- a/granitespool/__main__.py
+++ b/granitespool/__main__.py
@@ -7,7 +7,8 @@
   granitespool (-h | --help)
 
 Commands:
-  serve    Serve as one coordinator until SIGTERM (the default). The log goes to standard output.
+  serve    Serve as one coordinator until SIGTERM (the default); SIGHUP reads the configuration anew.
+           The log goes to standard output.
   check    Read the configuration, say in one line what it holds, and end.
   version  Print the version.
 
@@ -32,17 +33,20 @@
     if told["version"]:
         print(f"granitespool {__version__}")
         return 0
+    path = told["--config"] or os.environ.get("LB_CONFIG")
     try:
-        read = config.load(told["--config"] or os.environ.get("LB_CONFIG"))
+        read = config.load(path)
         if told["check"]:
             print(config.summary(read))
             return 0
-        service = Service(read, sys.stdout.fileno())
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something that could be replaced
+        service = Service(read, sys.stdout.fileno(), reread=lambda: config.load(path))
     except (BadInput, OSError) as error:
         print(f"granitespool: {error}", file=sys.stderr)
         return 1
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: service.stop())
+    signal.signal(signal.SIGHUP, lambda *_: service.reload())
     service.run()
     return 0
 
--- a/granitespool/facade.py
+++ b/granitespool/facade.py
@@ -14,6 +14,7 @@
 from granitespool.rules import Planner
 
 PROBES, PEERS, REMARKS = "probes", "peers", "remarks"  # parties other than the proxies, which are numbers
+FIXED = "classes", "slices", "subscribe", "index"  # settings that what is kept here or there is built on
 MET = frozenset(("list_news", "heard", "arrivals", "joined", "left", "applied", "probed", "peer_said",
                  "slice_given", "slice_line", "slice_load"))
 AS_THEY_COME = frozenset(("peer_said", "slice_load"))  # whose words the planner does not name
@@ -36,7 +37,7 @@
     """One coordinator: a planner, the host that it acts on, and what waits for each party."""
 
     def __init__(self, settings, seed, now):
-        self.classes = [kind.get("name") for kind in settings.get("classes") or ()]
+        self.settings, self.classes = settings, self._class_names(settings)
         self.every = (1 << len(self.classes)) - 1
         self.now, self.serial, self.timers = now, 0, []
         self.proxies, self.touched, self.waiting = {}, {}, {}  # number -> Party; in this turn; parties
@@ -66,6 +67,20 @@
         else:
             self._guarded(getattr(self.planner, what), **met)
 
+    def new_settings(self, now, settings):
+        """Settings for what is decided from now on; returns the names of those that wait for a restart."""
+        waits = [name for name in FIXED if settings.get(name) != self.settings.get(name)]
+        if "classes" in waits and self._class_names(settings) == self.classes:
+            waits.remove("classes")  # tables and levels go by their order; their figures may change
+        self.settings = {**settings, **{name: self.settings.get(name) for name in waits}}
+        self.now = max(self.now, now)
+        self._guarded(self.planner.new_settings, self.settings)
+        return waits
+
+    @staticmethod
+    def _class_names(settings):
+        return [kind.get("name") for kind in settings.get("classes") or ()]
+
     def tick(self, now):
         """Lets the timers run that are due, ends the turn and returns when the next is due."""
         self.now = max(self.now, now)
--- a/granitespool/net/discovery.py
+++ b/granitespool/net/discovery.py
@@ -26,7 +26,14 @@
         self.where, self.index = config["discovery"], 0
         self.addresses = {}          # of every backend that was ever listed; None where none was told
         self.news(config["known"])
-        loop.spawn(self._watch())
+        self.task = loop.spawn(self._watch())
+
+    def new_config(self, config):
+        """Watches at the new address, from the version that is held; the list stays meanwhile."""
+        if config["discovery"] != self.where:
+            self.where = config["discovery"]
+            self.loop.end(self.task)
+            self.task = self.loop.spawn(self._watch())
 
     def news(self, message):
         """Reports one message of the list; an entry that is wrong is left out."""
--- a/granitespool/net/loop.py
+++ b/granitespool/net/loop.py
@@ -46,10 +46,14 @@
         """Resumes a coroutine at once, with 0; not one that is running."""
         self._resume(task, 0)
 
+    def wake(self):
+        """Ends the wait for events, so that a turn follows; may be called from a signal handler."""
+        os.eventfd_write(self.bell, 1)
+
     def stop(self):
         """Ends `run`; may be called from a signal handler."""
         self.stopped = True
-        os.eventfd_write(self.bell, 1)
+        self.wake()
 
     def run(self, end_of_turn):
         while not self.stopped:
@@ -70,6 +74,8 @@
         for fd, mask in events:
             if fd in self.tasks:
                 self._resume(self.tasks[fd], mask)
+            elif fd == self.bell:
+                os.eventfd_read(self.bell)
         while self.timers and self.timers[0][0] <= self.now:
             _, serial, task = heapq.heappop(self.timers)
             if task.wait == serial:
--- a/granitespool/net/peers.py
+++ b/granitespool/net/peers.py
@@ -10,11 +10,14 @@
 class Peers:
     def __init__(self, loop, coordinator, log, config):
         self.loop, self.coordinator, self.log = loop, coordinator, log
-        self.peers, self.everyone = config["peers"], config["peers_all"]
+        self.new_config(config)
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
         self.sock.bind(config["peer_listen"])
         loop.spawn(self._read())
 
+    def new_config(self, config):
+        self.peers, self.everyone = config["peers"], config["peers_all"]
+
     def _read(self):
         with self.sock:
             while True:
@@ -33,7 +36,8 @@
 
     def send(self, peer, contents):
         """To one peer by its number, or to all with -1."""
-        data, where = bytes.fromhex(contents), self.everyone if peer < 0 else self.peers[peer]
+        data = bytes.fromhex(contents)
+        where = self.everyone if peer < 0 else self.peers[peer] if peer < len(self.peers) else None
         try:
             if where and len(data) <= LONGEST:
                 self.sock.sendto(data, where)
--- a/granitespool/net/probes.py
+++ b/granitespool/net/probes.py
@@ -17,8 +17,11 @@
 class Probes:
     def __init__(self, loop, coordinator, log, config, addresses):
         self.loop, self.coordinator, self.log, self.addresses = loop, coordinator, log, addresses
-        self.dial = config["settings"].get("connect_timeout") or DIAL
         self.flying = 0
+        self.new_config(config)
+
+    def new_config(self, config):
+        self.dial = config["settings"].get("connect_timeout") or DIAL
 
     def start(self):
         """Starts what is asked for, as far as there is room."""
--- a/granitespool/net/service.py
+++ b/granitespool/net/service.py
@@ -10,12 +10,17 @@
 from granitespool.net.peers import Peers
 from granitespool.net.probes import Probes
 from granitespool.net.streams import Streams
+from granitespool.settings import BadInput
+
+FIXED = "name", "listen", "peer_listen"  # what a new configuration cannot change while the service runs
 
 
 class Service:
-    """`run` serves until `stop` is called, which a signal handler may do."""
+    """`run` serves until `stop` is called, which a signal handler may do. So may it call `reload`: then what
+    `reread` returns replaces the configuration that serves, or changes nothing by ending in BadInput."""
 
-    def __init__(self, config, log_fd, clock=None):
+    def __init__(self, config, log_fd, clock=None, reread=None):
+        self.reread, self.rereads = reread, False
         self.loop = Loop(self._failed, clock)
         self.log = Log(log_fd, self.loop.clock, name=config["name"])
         try:
@@ -25,6 +30,7 @@
             raise
 
     def _make(self, config):
+        self.fixed = {name: config[name] for name in FIXED}
         uniform = Random(config["seed"]).uniform
         self.coordinator = Coordinator(config["settings"], config["seed"], self.loop.now)
         self.discovery = Discovery(self.loop, self.coordinator, self.log, config, uniform)
@@ -39,7 +45,27 @@
     def _failed(self, error):
         self.log.event("failed", why="".join(traceback.format_exception(error)))
 
+    def _new_config(self):
+        """The whole file is read and checked before any part hears of it; then each takes what is its own."""
+        self.rereads = False         # first: a call from here on asks for another reading
+        try:
+            config = self.reread()
+        except BadInput as error:
+            return self.log.event("reload_refused", why=str(error))
+        waits = [name for name in FIXED if config[name] != self.fixed[name]]
+        if (self.peers is not None) != bool(config["settings"].get("peers") and config["peer_listen"]):
+            waits.append("peers")
+        waits += self.coordinator.new_settings(self.loop.now, config["settings"])
+        for part in (self.discovery, self.probes, self.streams, *([self.peers] if self.peers else ())):
+            part.new_config(config)
+        self.log.event("reloaded", discovery="{}:{}".format(*config["discovery"]), waits_for_restart=waits)
+
     def _end_of_turn(self, now):
+        if self.rereads:
+            try:
+                self._new_config()
+            except Exception as error:  # a part that cannot take its own must not end the others' service
+                self._failed(error)
         due = self.coordinator.tick(now)
         for party in self.coordinator.parties():
             try:
@@ -77,5 +103,10 @@
         self.loop.close()
         self.log.close()
 
+    def reload(self):
+        """Reads the configuration anew in the next turn; may be called from a signal handler."""
+        self.rereads = self.reread is not None
+        self.loop.wake()
+
     def stop(self):
         self.loop.stop()
--- a/granitespool/net/streams.py
+++ b/granitespool/net/streams.py
@@ -35,11 +35,8 @@
     def __init__(self, loop, coordinator, log, pool, config, backends):
         self.backends = backends                 # those the list has named
         self.loop, self.coordinator, self.log, self.pool = loop, coordinator, log, pool
-        settings = config["settings"]
-        self.zones = set(settings.get("zones") or ())
-        self.classes = {kind.get("name") for kind in settings.get("classes") or ()}
-        self.proxies_expected = settings.get("proxies_expected") or 65535
-        self.most = max(8, config["sockets"] - RESERVE)
+        self.classes = {kind.get("name") for kind in config["settings"].get("classes") or ()}
+        self.new_config(config)
         self.connections, self.proxies = {}, {}  # in order of age; number -> its current stream
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -47,6 +44,13 @@
         self.listener.listen(BACKLOG)
         loop.spawn(self._accept())
 
+    def new_config(self, config):
+        """Who has joined stays, whatever the new figures are; they hold for who comes from now on."""
+        settings = config["settings"]
+        self.zones = set(settings.get("zones") or ())
+        self.proxies_expected = settings.get("proxies_expected") or 65535
+        self.most = max(8, config["sockets"] - RESERVE)
+
     def _accept(self):
         with self.listener:
             while True:
--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -71,26 +71,28 @@
 
 class Planner:
     def __init__(self, host, now, seed, settings):
-        self.host, self.settings = host, settings
-        self.jitter = Random(seed).uniform
+        self.host, self.jitter = host, Random(seed).uniform
+        self.new_settings(now, settings)
         self.backends, self.proxies = {}, {}      # id -> Backend; id -> (zone, rate)
         self.unbound = {}                         # proxy yet to be bound -> (others' lines it holds, since)
         self.tables = {zone: k for k, zone in enumerate(settings.get("zones") or [])}  # zone -> its table
         self.average = {}                         # zone -> average cost, ns
         self.lines, self.users = Counter(), defaultdict(dict)  # table -> its lines; proxies bound to it
         self.levels, self.slices = defaultdict(dict), {}  # table -> {class: as sent}; slice held -> lines
-        self.classes = [{"promised_time": SECOND, "benefit": 1, **c} for c in settings.get("classes") or []]
         self.out, self.serial, self.waiting = deque(), 0, 0  # messages perhaps still in the channel; lines
         self.flushed_at, self.next_flush, self.next_alarm, self.flush_due = None, 0, 0, 0
         self.lag, self.short, self.shut_at = 0, False, 0  # of marks; a rule line waits; joiners shut out when
         self.credit = SAVED * settings.get("lines_per_s", 1e9)  # lines for ordinary changes
         self.listed_once = self.strained = self.bare = False
-        self.through = 1.0                        # share of tries answered lately
-        self.room, self.asked = 1.0, {}           # share of work let in; class name -> transactions lately
+        self.through, self.room, self.asked = 1.0, 1.0, {}  # answered part of tries; let-in part; by class
         if settings.get("subscribe"):
             host.observe(True)
         host.wake(PERIOD, "round")
 
+    def new_settings(self, now, settings):
+        self.settings = settings                  # read where needed, so they act from the next decision on
+        self.classes = [{"promised_time": SECOND, "benefit": 1, **c} for c in settings.get("classes") or []]
+
     def list_news(self, now, form, entries):
         if form == "failed":
             return self.host.wake(int(PERIOD * self.jitter(0.5, 1.5)), "observe")
@@ -484,9 +486,8 @@
         cost = 1 + self.lines[table] + len(self.levels[table])
         if self.short or cost + 1 + self.settings.get("message_head", 0) > room and self.waiting > 0:
             return False
-        if self.lines[table]:                     # an empty table is worse than what the proxy holds
+        if self.lines[table] and self.unbound.pop(proxy, None):  # an empty table is worse than what it holds
             self.users[table][proxy] = None
-            del self.unbound[proxy]
             self.host.bind(proxy, table, 0)
             self._count(now, proxy, cost)
         return True
