Strangers have one time limit to join; wrong ones are refused at once; limits set each share

RESERVE (96) and the pool's MOST (32 MiB) did not follow the limits: under 256 descriptors 160 connections for 150 proxies, under 32 MB more buffers than memory. Lines at fault: streams.SILENT, RESERVE, _serve, _make_room; buffers.MOST; probes.AT_ONCE. Changed: 1.5 s from accept to joining, not prolonged by anything; a first message over 1,024 bytes, HTTP, orders and unknown parties get `refused` and a close at once; what comes with a connection is read before others are taken; a stranger gives way only after 50 ms, so that a flood cannot push out a proxy whose joining is on its way; connections, probes and buffers are shares of the limits; lines that others cause at will are 20 a second, then a number.

--- a/granitespool/net/buffers.py
+++ b/granitespool/net/buffers.py
@@ -1,12 +1,11 @@
 """Buffers of one size, taken from a pool and given back to it."""
 
 SIZE = 16 * 1024   # bytes of a buffer: a usual second of one party's reports in one read
-MOST = 2048        # buffers out at once, 32 MiB: a bound on what half messages may hold, far under the limits
 KEPT = 32          # free buffers kept for use again, 512 KiB: more only stand by after a burst
 
 
 class Pool:
-    def __init__(self, size=SIZE, most=MOST):
+    def __init__(self, most, size=SIZE):
         self.size, self.most, self.out, self.free = size, most, 0, []
 
     def take(self):
--- a/granitespool/net/config.py
+++ b/granitespool/net/config.py
@@ -1,7 +1,15 @@
 """The configuration: one JSON file, told by LB_CONFIG."""
 import orjson
 
-from granitespool.settings import BadInput, need, settings_map
+from granitespool.net.buffers import SIZE
+from granitespool.settings import BadInput, figure, need, settings_map
+
+SOCKETS = 1024     # descriptors where no limit is told: the platform's largest
+MEMORY_MB = 192    # MB where no limit is told: the platform's largest
+OTHERS = 16        # descriptors for standard streams, the loop, the listener, datagrams, the watch, a file
+PROBES_PART = 8    # one descriptor in so many is for probes: a server each of the smallest limit's fleet
+PROBES_MOST = 64   # probes in the air at most: more tell nothing sooner
+BUFFERS_PART = 4   # one byte in so many of the memory may be receive buffers: the program takes half of 32 MB
 
 
 def address(text):
@@ -12,6 +20,15 @@
     return host, int(port)
 
 
+def shares(limits):
+    """What the limits leave to each part: connections, probes in the air, receive buffers."""
+    limits = {"type": "limits", "sockets": SOCKETS, "memory_mb": MEMORY_MB, **limits}
+    sockets = figure(limits, "sockets", int)
+    probes = min(PROBES_MOST, sockets // PROBES_PART)
+    return {"sockets": sockets, "probes": max(1, probes), "connections": max(8, sockets - OTHERS - probes),
+            "buffers": int(figure(limits, "memory_mb")) * (1 << 20) // BUFFERS_PART // SIZE}
+
+
 def load(path):
     """A plain map of what the service is told, or BadInput with one sentence."""
     if not path:
@@ -43,7 +60,7 @@
     return {
         "name": need(told, "name", str), "listen": address(need(told, "listen", str)),
         "discovery": address(need(told, "discovery", str)), "seed": seed,
-        "sockets": need({"type": "limits", "sockets": 1024, **limits}, "sockets", int),
+        **shares({key: limit for key, limit in limits.items() if limit is not None}),
         "peer_listen": address(told["peer_listen"]) if told.get("peer_listen") else None,
         "peers": [address(peer) for peer in told.get("peers") or ()],
         "peers_all": address(told["peers_all"]) if told.get("peers_all") else None,
--- a/granitespool/net/discovery.py
+++ b/granitespool/net/discovery.py
@@ -44,7 +44,7 @@
             try:
                 entry = list_entry(row, SOCKETS)
             except BadInput as error:
-                self.log.event("entry_dropped", why=str(error))
+                self.log.often("entry_dropped", why=str(error))
                 form = "changes"     # what cannot be read is not gone: nobody leaves by being left out
                 continue
             entries.append(entry)
@@ -63,7 +63,7 @@
         try:
             self.addresses[backend] = address(told) if told else known
         except BadInput as error:    # the entry holds, it only cannot be probed at a new place
-            self.log.event("entry_dropped", backend=backend, why=str(error))
+            self.log.often("entry_dropped", backend=backend, why=str(error))
 
     def _watch(self):
         wait = WAIT_FIRST
--- a/granitespool/net/frames.py
+++ b/granitespool/net/frames.py
@@ -35,8 +35,9 @@
 class Reader:
     """What one party has sent and is not read yet; owns the buffers it took from the pool."""
 
-    def __init__(self, pool):
-        self.pool, self.chain, self.first, self.have = pool, [], 0, 0  # [buffer, filled]; offset in the first
+    def __init__(self, pool, largest):
+        self.pool, self.largest = pool, largest                  # bytes of a message at most, for now
+        self.chain, self.first, self.have = [], 0, 0             # [buffer, filled]; offset in the first
 
     def room(self):
         """A view to receive into, or None when the pool has no buffer left."""
@@ -56,7 +57,7 @@
         """The messages that are complete; a frame that is not the protocol's ends in BadInput."""
         while self.have >= HEAD:
             size = int.from_bytes(self._bytes(HEAD), "little")
-            if size > LARGEST:
+            if size > self.largest:
                 raise BadInput(f"a message of {size} bytes is over the limit")
             if self.have < HEAD + size:
                 return
--- a/granitespool/net/log.py
+++ b/granitespool/net/log.py
@@ -6,15 +6,29 @@
 import orjson
 
 MOST = 256 * 1024  # bytes that wait for a reader: some thousand lines; later ones are counted and dropped
+OFTEN = 20         # lines a second of one event that others can cause at will: enough to see who and why
 WORD = 2000        # characters of a value that are kept: a traceback's end
 
 
 class Log:
     def __init__(self, fd, clock, **always):
         self.fd, self.clock, self.always, self.waiting, self.size, self.dropped = fd, clock, always, [], 0, 0
+        self.second, self.told = 0, {}           # of the clock; event -> how often it came in that second
         self.blocking = os.get_blocking(fd)
         os.set_blocking(fd, False)
 
+    def often(self, name, **fields):
+        """An event that others can cause at will: some lines of it a second, then only their number."""
+        second = self.clock() // 1_000_000_000
+        if second != self.second:
+            more = {event: times - OFTEN for event, times in self.told.items() if times > OFTEN}
+            self.second, self.told = second, {}
+            if more:
+                self.event("untold", events=more)
+        self.told[name] = self.told.get(name, 0) + 1
+        if self.told[name] <= OFTEN:
+            self.event(name, **fields)
+
     def event(self, name, **fields):
         fields = {key: value[-WORD:] if isinstance(value, str) else value for key, value in fields.items()}
         line = orjson.dumps({"at_ms": self.clock() // 1_000_000, "event": name, **self.always, **fields},
--- a/granitespool/net/peers.py
+++ b/granitespool/net/peers.py
@@ -31,7 +31,7 @@
                         self.coordinator.report(self.loop.now, "peer_said", sender=self.peers.index(sender),
                                                 contents=data.hex())
                     else:
-                        self.log.event("dropped", peer="{}:{}".format(*sender),
+                        self.log.often("dropped", peer="{}:{}".format(*sender),
                                        why="a datagram of no peer, or too long")
 
     def send(self, peer, contents):
--- a/granitespool/net/probes.py
+++ b/granitespool/net/probes.py
@@ -8,7 +8,6 @@
 from granitespool.net.loop import SECOND
 from granitespool.settings import load_map
 
-AT_ONCE = 64            # probes in the air at most: a bound on descriptors; the others wait their turn
 ANSWER = SECOND // 2    # ns from the start to the answer: half the planner's period
 DIAL = SECOND // 4      # ns for a connection to come up, where the settings name no time
 BODY_MOST = 4096        # bytes of a load report that are kept
@@ -21,11 +20,11 @@
         self.new_config(config)
 
     def new_config(self, config):
-        self.dial = config["settings"].get("connect_timeout") or DIAL
+        self.dial, self.most = config["settings"].get("connect_timeout") or DIAL, config["probes"]
 
     def start(self):
         """Starts what is asked for, as far as there is room."""
-        while self.flying < AT_ONCE and (backend := self.coordinator.pick(PROBES)) is not None:
+        while self.flying < self.most and (backend := self.coordinator.pick(PROBES)) is not None:
             self.loop.spawn(self._probe(backend))
 
     def _probe(self, backend):
--- a/granitespool/net/service.py
+++ b/granitespool/net/service.py
@@ -38,7 +38,8 @@
         self.peers = None
         if config["settings"].get("peers") and config["peer_listen"]:
             self.peers = Peers(self.loop, self.coordinator, self.log, config)
-        self.streams = Streams(self.loop, self.coordinator, self.log, Pool(), config,
+        self.pool = Pool(config["buffers"])
+        self.streams = Streams(self.loop, self.coordinator, self.log, self.pool, config,
                                self.discovery.addresses)
         self.log.event("serving", listen="{}:{}".format(*config["listen"]))
 
@@ -58,6 +59,7 @@
         waits += self.coordinator.new_settings(self.loop.now, config["settings"])
         for part in (self.discovery, self.probes, self.streams, *([self.peers] if self.peers else ())):
             part.new_config(config)
+        self.pool.most = config["buffers"]
         self.log.event("reloaded", discovery="{}:{}".format(*config["discovery"]), waits_for_restart=waits)
 
     def _end_of_turn(self, now):
--- a/granitespool/net/streams.py
+++ b/granitespool/net/streams.py
@@ -5,7 +5,7 @@
 import errno
 import socket
 
-from granitespool.net.frames import PONG, Reader, updates
+from granitespool.net.frames import LARGEST, PONG, Reader, frame, updates
 from granitespool.net.loop import IN, OUT, SECOND
 from granitespool.settings import COUNT_MOST, MS, MS_MOST, BadInput, figure, load_map, need
 
@@ -13,11 +13,12 @@
 ACCEPTS = 64              # connections taken in one turn: the others are served between
 READ_MOST = 256 * 1024    # bytes read from one party in one turn: twice what may stand unread
 UNSENT_MOST = 64 * 1024   # bytes of answers that wait for one party: who asks more and reads none is cut off
-RESERVE = 96              # descriptors kept for probes, the list, peers, files
-SILENT = 20 * SECOND      # ns until a stranger who never sent a message is cut off
+JOINING = 3 * SECOND // 2  # ns from accept to joining, whatever is sent meanwhile: a proxy joins at once
+FIRST_MOST = 1024         # bytes of a stranger's message at most: a joining takes a tenth
+YOUNG = SECOND // 20      # ns for which a stranger does not give way: a proxy's joining may be on its way
 UNHEARD = 6 * SECOND      # ns a proxy's stream may bring nothing after an order that asks for an answer
 SERIAL_MOST = 65535       # the highest mark: the protocol's
-FULL_WAIT = SECOND // 20  # ns between accepts while no descriptor is free
+FULL_WAIT = SECOND // 50  # ns between accepts while there is no room
 
 
 def time(message, key):
@@ -30,8 +31,8 @@
 
 
 class Connection:
-    def __init__(self, sock, peer, pool):
-        self.sock, self.peer, self.reader = sock, peer, Reader(pool)
+    def __init__(self, sock, peer, pool, now):
+        self.sock, self.peer, self.reader, self.since = sock, peer, Reader(pool, FIRST_MOST), now
         self.role, self.proxy, self.unsent, self.task = "stranger", None, b"", None
         self.joining, self.asked, self.away = {}, None, False  # a proxy's words; asked when; counted as left
 
@@ -42,7 +43,8 @@
         self.loop, self.coordinator, self.log, self.pool = loop, coordinator, log, pool
         self.classes = {kind.get("name") for kind in config["settings"].get("classes") or ()}
         self.new_config(config)
-        self.connections, self.proxies = {}, {}  # in order of age; number -> its current stream
+        self.connections, self.strangers = {}, {}  # in order of age; those of them that have not joined
+        self.proxies = {}                        # number -> its current stream
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(config["listen"])
@@ -54,13 +56,16 @@
         settings = config["settings"]
         self.zones = set(settings.get("zones") or ())
         self.proxies_expected = settings.get("proxies_expected") or 65535
-        self.most = max(8, config["sockets"] - RESERVE)
+        self.most = config["connections"]
 
     def _accept(self):
         with self.listener:
             while True:
                 yield self.listener.fileno(), IN, None
                 for taken in range(ACCEPTS):
+                    if len(self.connections) >= self.most and not self._make_room():
+                        yield None, 0, self.loop.now + FULL_WAIT
+                        break
                     try:
                         sock, peer = self.listener.accept()
                     except BlockingIOError:
@@ -77,41 +82,44 @@
                         self._take(sock, f"{peer[0]}:{peer[1]}")
                     except OSError as error:  # reset already: it must not end the accepting
                         sock.close()
-                        self.log.event("ended", peer=peer[0], role="stranger", why=str(error))
+                        self.log.often("refused", peer=peer[0], why=str(error))
 
     def _take(self, sock, peer):
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if len(self.connections) >= self.most:
-            self._make_room()
-        connection = Connection(sock, peer, self.pool)
-        self.connections[connection] = None
+        connection = Connection(sock, peer, self.pool, self.loop.now)
+        self.connections[connection] = self.strangers[connection] = None
         connection.task = self.loop.spawn(self._serve(connection))
 
     def _make_room(self, but=None):
-        """Gives up the oldest stranger, or else the oldest collector; never a proxy's stream."""
-        for role in ("stranger", "collector"):
-            for connection in self.connections:
-                if connection.role == role and connection is not but:
-                    self.log.event("given_up", peer=connection.peer, role=role)
-                    self.loop.end(connection.task)
-                    return True
-        return False
+        """Gives up the oldest stranger, or where there is none the oldest collector; never a proxy's stream.
+        Against floods of strangers: they give way to who may be a proxy, but not before their own joining can
+        have come. What else it holds for: all proxies at once. Harm: past so many at once, others wait."""
+        oldest = next((each for each in self.strangers if each is not but), None)
+        if oldest is None:
+            oldest = next((each for each in self.connections if each.role == "collector"), None)
+        elif self.loop.now - oldest.since < YOUNG:
+            return False
+        if oldest is None or oldest is but:
+            return False
+        self.log.often("given_up", peer=oldest.peer, role=oldest.role)
+        self.loop.end(oldest.task)
+        return True
 
     def _serve(self, connection):
         reason = "closed"
         try:
-            silent = self.loop.now + SILENT
+            if not self._read(connection):       # what came with it: a joining must not wait among strangers
+                return
             while True:
                 if connection.role == "stranger":
-                    due = silent
+                    due = connection.since + JOINING
                 else:
                     due = connection.asked and connection.asked + UNHEARD
                 events = yield connection.sock.fileno(), IN | (OUT if connection.unsent else 0), due
                 if not events and due and self.loop.now >= due:
                     if connection.role == "stranger":
-                        reason = "silent"
-                        return
+                        raise BadInput("it has not joined in time")
                     self._away(connection)
                 if connection.unsent:
                     self._write(connection, b"")
@@ -123,6 +131,7 @@
             raise
         except BadInput as error:
             reason = str(error)
+            self._refuse(connection, reason)
         except OSError as error:
             reason = error.strerror or str(error)
         finally:
@@ -130,6 +139,7 @@
 
     def _end(self, connection, reason):
         del self.connections[connection]
+        self.strangers.pop(connection, None)
         connection.sock.close()
         connection.reader.close()
         if self.proxies.get(connection.proxy) is connection:
@@ -138,9 +148,24 @@
                 self.coordinator.report(self.loop.now, "left", proxy=connection.proxy)
         elif connection.role == "proxy":
             reason = "replaced"
-        if connection.role != "stranger" or reason != "closed":
+        if connection.role != "stranger":
             self.log.event("ended", peer=connection.peer, role=connection.role, proxy=connection.proxy,
                            why=reason)
+        elif reason not in ("closed", "given up"):
+            self.log.often("refused", peer=connection.peer, why=reason)
+
+    @staticmethod
+    def _refuse(connection, why):
+        """A last word to a stranger, as far as it can be written at once."""
+        if connection.role == "stranger":
+            try:
+                connection.sock.send(frame({"type": "refused", "why": why}))
+            except OSError:
+                pass                 # it is closed all the same
+
+    def _take_in(self, connection, role):
+        del self.strangers[connection]
+        connection.role, connection.reader.largest = role, LARGEST
 
     def _away(self, connection):
         """A proxy that answers no mark and reports nothing is cut off: it counts as left until it speaks,
@@ -196,13 +221,13 @@
             try:
                 getattr(self, "_" + kind)(connection, message)
             except BadInput as error:
-                self.log.event("dropped", peer=connection.peer, proxy=connection.proxy, why=str(error))
+                self.log.often("dropped", peer=connection.peer, proxy=connection.proxy, why=str(error))
             except Exception as error:
                 # Against a fault of ours that some message wakes: it must not cost its sender the connection,
                 # and with a collector all of its zone's reports. Harm: the fault shows in the log alone.
                 self.loop.failed(error)
         else:
-            self.log.event("dropped", peer=connection.peer, proxy=connection.proxy,
+            self.log.often("dropped", peer=connection.peer, proxy=connection.proxy,
                            why=f"a {kind!r:.40} has no place here" if kind else "it is no object with a type")
 
     def _one_of(self, message, key, known):
@@ -219,7 +244,7 @@
 
     def _collector(self, connection, message):
         zone = self._one_of(message, "locality", self.zones)
-        connection.role = "collector"
+        self._take_in(connection, "collector")
         self.log.event("collector", peer=connection.peer, zone=zone)
 
     def _joined(self, connection, message):
@@ -228,7 +253,8 @@
         rate = figure(message, "w") if rate is not None else 0
         cold = need(message, "cold", bool)
         before = self.proxies.get(number)
-        connection.role, connection.proxy = "proxy", number
+        self._take_in(connection, "proxy")
+        connection.proxy = number
         connection.joining = {"proxy": number, "zone": zone, "standing": cold, "rate": rate}
         self.proxies[number] = connection
         self.log.event("joined", peer=connection.peer, proxy=number, zone=zone, cold=cold)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -10,6 +10,7 @@
 from types import SimpleNamespace
 
 from granitespool.facade import REMARKS, Coordinator
+from granitespool.net.config import shares
 from granitespool.net.service import Service
 from granitespool.rules import Planner
 from granitespool.settings import BadInput
@@ -217,7 +218,7 @@
         self.now, self.known, self.service, self.parties, self.got = EPOCH, [], None, {}, defaultdict(str)
         self.answers, self.addresses, self.watches, self.asked = {}, {}, [], ""
         self.settings.update(proxies_expected=600, probes=False)
-        self.limits, self.discovery, self.pipe = 1024, socket.create_server(("127.0.0.1", 0)), os.pipe()
+        self.limits, self.discovery, self.pipe = {}, socket.create_server(("127.0.0.1", 0)), os.pipe()
         self.peer, self.stranger = (socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(2))
         for sock in (self.peer, self.stranger):
             sock.bind(("127.0.0.1", 0))
@@ -233,7 +234,7 @@
 
     def config(self):
         return {"name": "t", "listen": ("127.0.0.1", 0), "discovery": self.discovery.getsockname(), "seed": 1,
-                "sockets": self.limits, "peer_listen": ("127.0.0.1", 0), "peers": [self.peer.getsockname()],
+                **shares(self.limits), "peer_listen": ("127.0.0.1", 0), "peers": [self.peer.getsockname()],
                 "peers_all": self.peer.getsockname(), "known": {"index": 7, "endpoints": self.known},
                 "settings": copy.deepcopy(self.settings)}
 
@@ -296,8 +297,8 @@
             self.turn(self.PAUSE)
         assert check(), (told, self.log[-3000:], dict(self.got))
 
-    def do_limits(self, sockets):
-        self.limits = int(sockets)
+    def do_limits(self, *pairs):
+        self.limits = {k: value(v) for k, v in (pair.split("=") for pair in pairs)}
 
     def do_known(self, *entries):
         for entry in entries:
@@ -368,6 +369,24 @@
         self.do_open(name)
         self.do_say(name, f'{{"type":"joined","node":{proxy},"locality":"{zone}","w":5.0,"cold":true}}')
 
+    def do_waits(self, name, proxy, zone):  # its joining is sent before its connection is taken
+        sock = socket.create_connection(self.begin().streams.listener.getsockname())
+        sock.sendall(framed([f'{{"type":"joined","node":{proxy},"locality":"{zone}","w":5.0,"cold":true}}']))
+        sock.setblocking(False)
+        self.parties[name] = sock
+        self.turn()
+
+    def do_throng(self, number, zone):   # t0, t1, ... all at once
+        real, self.turn = self.turn, lambda: None
+        for k in range(int(number)):
+            self.do_waits(f"t{k}", k, zone)
+        self.turn = real
+        self.turn()
+
+    def do_mutter(self, times):          # so many remarks of the planner
+        for _ in range(int(times)):
+            self.do_host("remark", "a-word-" * 20)
+
     def do_hangup(self, name):
         self.parties[name].close()
         del self.parties[name]
