Who is gone is forgotten, everywhere and in one place; means of the minute and timers stay few

Checked: by a scenario that churns 120 names and streams: 123 addresses, 121 suspects and 63 records were kept, of three live names; a record held up to 180 means of the last minute, and each wait of a connection left a timer behind. Lines at fault: Discovery.addresses and Coordinator.suspects had no end; Planner._round forgot after a minute alone; Loop._resume pushed a timer at each resume. Changed: the planner forgets who is gone for 20 s and named by no table or shut-out, and says so (Host.forget); facade and discovery forget with it. The minute's means are kept only as far as they can still be the lowest, which gives the same figure. A coroutine's timer stands until its time changes.

--- a/granitespool/facade.py
+++ b/granitespool/facade.py
@@ -13,7 +13,8 @@
 
 from granitespool.rules import Planner
 
-PROBES, PEERS, REMARKS = "probes", "peers", "remarks"  # parties other than the proxies, which are numbers
+# Parties other than the proxies, which are numbers: what they are given to do, say, write down or forget
+PROBES, PEERS, REMARKS, GONE = "probes", "peers", "remarks", "gone"
 FIXED = "classes", "slices", "subscribe", "index"  # settings that what is kept here or there is built on
 MET = frozenset(("list_news", "heard", "arrivals", "joined", "left", "applied", "probed", "peer_said",
                  "slice_given", "slice_line", "slice_load"))
@@ -44,7 +45,7 @@
         self.tables, self.levels, self.withdrawn = {}, {}, set()
         self.suspects = {}           # backends that some coordinator may have shut out
         self.mark_now = None
-        self.queues = {PROBES: [], PEERS: [], REMARKS: []}
+        self.queues = {PROBES: [], PEERS: [], REMARKS: [], GONE: []}
         self.planner = Planner(self, now, seed, settings)
 
     def report(self, now, what, **met):
@@ -222,6 +223,15 @@
         if backend not in self.queues[PROBES]:
             self.queues[PROBES].append(backend)
 
+    def forget(self, backend):
+        # The one place that forgets a name. Harm: a proxy that holds it shut out from a stream long ago goes
+        # on so if the name returns, until it joins anew.
+        self.suspects.pop(backend, None)
+        self.withdrawn.discard(backend)
+        for held in self.proxies.values():
+            held.shut.discard(backend)
+        self.queues[GONE].append(backend)
+
     def observe(self, on):
         """The list's watch stands by itself as long as the service runs, so there is nothing to ask for."""
 
--- a/granitespool/host.py
+++ b/granitespool/host.py
@@ -40,6 +40,9 @@
     def probe(self, backend: str) -> None:
         """Send one health check."""
 
+    def forget(self, backend: str) -> None:
+        """Nothing will name this backend again, unless the list does: what is kept of it can go."""
+
     def observe(self, on: bool) -> None:
         """Ask for changes of the list from now on, or stop them."""
 
--- a/granitespool/net/discovery.py
+++ b/granitespool/net/discovery.py
@@ -24,7 +24,8 @@
     def __init__(self, loop, coordinator, log, config, uniform):
         self.loop, self.coordinator, self.log, self.uniform = loop, coordinator, log, uniform
         self.where, self.index = config["discovery"], 0
-        self.addresses = {}          # of every backend that was ever listed; None where none was told
+        self.addresses = {}          # of every backend listed and not yet forgotten; None: none was told
+        self.named = False           # whether any list has named anyone
         self.news(config["known"])
         self.task = loop.spawn(self._watch())
 
@@ -39,7 +40,7 @@
         """Reports one message of the list; an entry that is wrong is left out."""
         message = {"type": "list", **message} if isinstance(message, dict) else {"type": "list"}
         index, entries = need(message, "index", int), []
-        form, first = "whole" if message.get("snapshot") else "changes", not self.addresses
+        form, first = "whole" if message.get("snapshot") else "changes", not self.named
         for row in need(message, "endpoints", list):
             try:
                 entry = list_entry(row, SOCKETS)
@@ -50,7 +51,8 @@
             entries.append(entry)
             self._address(entry["backend"], row.get("address"))
         self.index = index
-        if not self.addresses:
+        self.named = self.named or bool(self.addresses)
+        if not self.named:
             return                   # the first list that names anyone is the one to start from
         if first:
             form = "restored"
@@ -58,6 +60,9 @@
             self.coordinator.report(self.loop.now, "list_news", form=form, entries=entries)
         self.log.event("list", form=form, index=index, entries=len(entries))
 
+    def forget(self, backend):
+        self.addresses.pop(backend, None)
+
     def _address(self, backend, told):
         known = self.addresses.setdefault(backend)
         try:
--- a/granitespool/net/loop.py
+++ b/granitespool/net/loop.py
@@ -16,10 +16,10 @@
 
 
 class Task:
-    __slots__ = ("run", "fd", "mask", "wait")
+    __slots__ = ("run", "fd", "mask", "due", "wait")
 
     def __init__(self, run):
-        self.run, self.fd, self.mask, self.wait = run, None, 0, 0
+        self.run, self.fd, self.mask, self.due, self.wait = run, None, 0, None, 0
 
 
 class Loop:
@@ -79,13 +79,13 @@
         while self.timers and self.timers[0][0] <= self.now:
             _, serial, task = heapq.heappop(self.timers)
             if task.wait == serial:
+                task.due = None
                 self._resume(task, 0)
         self.next_due = end_of_turn(self.now)
 
     def _resume(self, task, events):
         if task not in self.all:
             return
-        task.wait = 0
         try:
             fd, mask, due = task.run.send(events)
             self._watch(task, fd, mask)
@@ -94,10 +94,11 @@
         except Exception as error:
             self.end(task)
             return self.failed(error)
-        if due is not None:
+        if due != task.due:      # else its timer stands already: one a wait, however often it is resumed
             self.serial += 1
-            task.wait = self.serial
-            heapq.heappush(self.timers, (due, self.serial, task))
+            task.due, task.wait = due, self.serial
+            if due is not None:
+                heapq.heappush(self.timers, (due, self.serial, task))
 
     def _watch(self, task, fd, mask):
         if (fd, mask) == (task.fd, task.mask) and self.tasks.get(fd) is task:
--- a/granitespool/net/service.py
+++ b/granitespool/net/service.py
@@ -2,7 +2,7 @@
 import traceback
 from random import Random
 
-from granitespool.facade import PEERS, PROBES, REMARKS, Coordinator
+from granitespool.facade import GONE, PEERS, PROBES, REMARKS, Coordinator
 from granitespool.net.buffers import Pool
 from granitespool.net.discovery import Discovery
 from granitespool.net.log import Log
@@ -84,6 +84,9 @@
             while (words := self.coordinator.pick(PEERS)) is not None:
                 if self.peers:
                     self.peers.send(*words)
+        elif party == GONE:
+            while (backend := self.coordinator.pick(GONE)) is not None:
+                self.discovery.forget(backend)
         elif party == REMARKS:
             while (text := self.coordinator.pick(REMARKS)) is not None:
                 self.log.event("remark", text=text)
--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -14,6 +14,7 @@
 RAMP_STEP = 5 * SECOND  # ns for each doubling of a new server's part: the design page's round
 RAMP_START = 0.25       # part of its weight that a new or returned server starts at: the design page's
 LOWEST_SPAN = 60 * SECOND  # ns that the lowest mean is looked for in: the design page's minute
+GONE_KEPT = 20 * SECOND  # ns that who is gone is known: joiners with old tables are bound in a few seconds
 KEEP = 0.92             # part of what was heard that a recompute carries on: a mean over some twelve seconds
 PRIOR = 8.0             # answers that the average cost of a server's kind stands for
 HEARD_LEAST = 3.0       # answers below which a server's mean is chance, so it counts as unheard
@@ -50,16 +51,15 @@
 
 class Link:  # what the proxies of one zone met at a backend, and what that makes of it
     def __init__(self):
-        self.tries = self.failed = self.answered = self.time = 0.0
-        self.lows = deque()
+        self.tries = self.failed = self.answered = self.time = self.heard = 0.0
+        self.lows, self.spare = deque(), False    # means of the last minute; cut only down to a last resort
         self.over = self.streak = 0               # reports running over; tries running that failed
-        self.cut_at, self.spare = None, False     # cut when; only down to a last resort
-        self.ramp_from, self.cost, self.heard = None, None, 0.0
+        self.cut_at = self.ramp_from = self.cost = None
 
 
 class Backend:  # the one record of a backend
-    def __init__(self, backend):
-        self.id, self.zone, self.kind, self.phase = backend, None, None, "gone"
+    def __init__(self, backend, now):
+        self.id, self.zone, self.kind, self.phase, self.seen_at = backend, None, None, "gone", now
         self.listed, self.started, self.ramp_from, self.probed_at = 1.0, 0, None, -PERIOD
         self.links, self.sent = {}, {}
         self.tried = self.missed = self.done = self.spent = 0.0
@@ -73,17 +73,16 @@
     def __init__(self, host, now, seed, settings):
         self.host, self.jitter = host, Random(seed).uniform
         self.new_settings(now, settings)
-        self.backends, self.proxies = {}, {}      # id -> Backend; id -> (zone, rate)
+        self.backends, self.proxies, self.average = {}, {}, {}  # id -> Backend, (zone, rate); zone -> ns
         self.unbound = {}                         # proxy yet to be bound -> (others' lines it holds, since)
         self.tables = {zone: k for k, zone in enumerate(settings.get("zones") or [])}  # zone -> its table
-        self.average = {}                         # zone -> average cost, ns
         self.lines, self.users = Counter(), defaultdict(dict)  # table -> its lines; proxies bound to it
         self.levels, self.slices = defaultdict(dict), {}  # table -> {class: as sent}; slice held -> lines
         self.out, self.serial, self.waiting = deque(), 0, 0  # messages perhaps still in the channel; lines
         self.flushed_at, self.next_flush, self.next_alarm, self.flush_due = None, 0, 0, 0
-        self.lag, self.short, self.shut_at = 0, False, 0  # of marks; a rule line waits; joiners shut out when
+        self.lag = self.shut_at = 0               # of marks; joiners shut out when
         self.credit = SAVED * settings.get("lines_per_s", 1e9)  # lines for ordinary changes
-        self.listed_once = self.strained = self.bare = False
+        self.short = self.listed_once = self.strained = self.bare = False  # short: a rule line waits
         self.through, self.room, self.asked = 1.0, 1.0, {}  # answered part of tries; let-in part; by class
         if settings.get("subscribe"):
             host.observe(True)
@@ -99,16 +98,15 @@
         for entry in entries:
             self._entry(now, **entry)
         seen = {entry["backend"] for entry in entries}
-        for rec in self.backends.values() if form != "changes" else ():
-            if rec.id not in seen:
-                self._entry(now, rec.id, rec.zone, rec.kind, None, "gone", rec.listed, 0)
+        for rec in [rec for rec in self.backends.values() if form != "changes" and rec.id not in seen]:
+            self._entry(now, rec.id, rec.zone, rec.kind, None, "gone", rec.listed, 0)
         self.listed_once = True
         self._flush(now)
 
     def _entry(self, now, backend, zone, kind, cell, phase, weight, started):
         rec = self.backends.get(backend)
         if rec is None:
-            rec = self.backends[backend] = Backend(backend)
+            rec = self.backends[backend] = Backend(backend, now)
             rec.gone_at = now if self.listed_once else None  # a former life shut out what its last list told
         # Where only a drain binds, a probe checks a list that drops a server: it may be old or wrong. Harm:
         # one that died is kept until the probe, or the reports, tell.
@@ -170,8 +168,9 @@
                     if not link.spare and now - link.cut_at >= UNHEARD_PERIODS * PERIOD:
                         rec.links[zone] = Link()
                         rec.links[zone].ramp_from = now
-            if rec.phase == "gone" and not any(rec.sent.values()) and now - (rec.gone_at or 0) > LOWEST_SPAN:
-                del self.backends[rec.id]
+            lost = rec.phase == "gone" and not any(rec.sent.values())
+            if lost and now - max(rec.gone_at or 0, rec.seen_at) > GONE_KEPT:
+                self.host.forget(self.backends.pop(rec.id).id)  # the one place; no table or shut-out names it
         while self.out and (not self.out[0][1] or now - self.out[0][2] > MARK_LOST):
             self.waiting -= sum(self.out.popleft()[1].values())
         self._flush(now)
@@ -181,17 +180,18 @@
         if link.answered < HEARD_LEAST:
             return None
         rtt, errors = link.time / link.answered, link.failed / link.tries
+        while link.lows and link.lows[-1][1] >= rtt:  # the lowest stays at the front
+            link.lows.pop()
         link.lows.append((now, rtt))
         while link.lows[0][0] < now - LOWEST_SPAN:
             link.lows.popleft()
         if self.strained or self.room < 1:
-            rtt = min(mean for _, mean in link.lows)
+            rtt = link.lows[0][1]
         u = self._utilization(link, rtt)
         return (errors * 2 * rtt + (1 - errors) * rtt) * (1 + 1 / (1 + math.exp(ALPHA * (BETA - u))))
 
     def _utilization(self, link, rtt):
-        lowest = min((mean for _, mean in link.lows), default=rtt)
-        return 100 * max(0.0, rtt - lowest) / rtt
+        return 100 * max(0.0, rtt - (link.lows[0][1] if link.lows else rtt)) / rtt
 
     def _strain(self):
         """Tells trouble of the fleet from that of a few servers, by the server of the middle try. Failures
--- a/granitespool/wirehost.py
+++ b/granitespool/wirehost.py
@@ -45,6 +45,9 @@
     def probe(self, backend):
         self._do("health_check", backend=backend)
 
+    def forget(self, backend):
+        """Nothing is kept here."""
+
     def observe(self, on):
         self._do("observe", flag=on)
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -1,5 +1,6 @@
 """Plays one scenario: a planner on a host that notes what is asked; tests/README.md has the notation."""
 import copy
+import json
 import os
 import resource
 import select
@@ -517,6 +518,28 @@
             line = line.replace(f"@{name}", where)
         self.watches[-1].sendall(f"{len(line):x}\r\n{line}\r\n".encode())
 
+    def do_churns(self, times, zone):    # a second each: a new backend, the one before gone, a stream anew
+        for k in range(int(times)):
+            listed = [(f"churned-{k}", "ready", self.now // 10**6), (f"churned-{k - 1}", "gone", 0)]
+            self.do_news(json.dumps({"index": 100 + k, "snapshot": False, "endpoints": [
+                {"name": name, "address": "127.0.0.1:9", "zone": zone, "status": status, "since_ms": since}
+                for name, status, since in listed]}))
+            self.do_joins("churner", 7, zone)
+            self.do_at(f"{(self.now - EPOCH) / 10**9 + 1:.3f}s")
+            self.do_hangup("churner")
+            self.do_alive("p")
+
+    def do_kept(self, most):             # of anything that is kept by name, stream or time, at most so many
+        service, facade = self.service, self.service.coordinator
+        sizes = {"addresses": service.discovery.addresses, "backends": facade.planner.backends,
+                 "suspects": facade.suspects, "withdrawn": facade.withdrawn, "timers": service.loop.timers,
+                 "tasks": service.loop.all, "watched": service.loop.tasks, "wakes": facade.timers,
+                 "connections": service.streams.connections, "strangers": service.streams.strangers,
+                 "marks": facade.planner.out, **facade.queues, **facade.tables,
+                 **{f"shut at {proxy}": held.shut for proxy, held in facade.proxies.items()}}
+        over = {name: len(kept) for name, kept in sizes.items() if len(kept) > int(most)}
+        assert not over, over
+
     def do_breaks(self):                 # discovery resets the watch
         self.watches.pop().close()
         self.turn()
