A new server's ramp follows the told warm-up and cold share instead of ten seconds

Ruled out: reload itself (0.1 s to the new watch, same list), probes (successors proven within 0.3 s), drains (kept). Lines at fault: rules.Planner._want, RAMP_STEP and RAMP_START for whoever is new, whatever is told. Changed: each doubling takes half the told warm-up, 5 s at most; the start is the told cold share where that is over a quarter. A cut server's return keeps its five seconds.

--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -78,9 +78,8 @@
         self.tables = {zone: k for k, zone in enumerate(settings.get("zones") or [])}  # zone -> its table
         self.lines, self.users = Counter(), defaultdict(dict)  # table -> its lines; proxies bound to it
         self.levels, self.slices = defaultdict(dict), {}  # table -> {class: as sent}; slice held -> lines
-        self.out, self.serial, self.waiting = deque(), 0, 0  # messages perhaps still in the channel; lines
-        self.flushed_at, self.next_flush, self.next_alarm, self.flush_due = None, 0, 0, 0
-        self.lag = self.shut_at = 0               # of marks; joiners shut out when
+        self.out, self.serial, self.waiting, self.flushed_at = deque(), 0, 0, -1  # in the channel; its lines
+        self.next_flush = self.next_alarm = self.flush_due = self.lag = self.shut_at = 0  # lag: of marks
         self.credit = SAVED * settings.get("lines_per_s", 1e9)  # lines for ordinary changes
         self.short = self.listed_once = self.strained = self.bare = False  # short: a rule line waits
         self.through, self.room, self.asked = 1.0, 1.0, {}  # answered part of tries; let-in part; by class
@@ -258,8 +257,7 @@
             self._probe(now, rec)
 
     def _cut(self, now, zone, link):
-        # Past the cap a server stays as a last resort: a few tries tell when it heals, and should all fail
-        # alike all weights fall alike and the table is whole.
+        # Past the cap a server stays as a last resort: a few tries tell when it heals, or all weigh alike
         ready = [rec.link(zone) for rec in self.backends.values() if rec.phase == "ready"]
         out = sum(1 for each in ready if each.cut_at is not None and not each.spare)
         link.spare, link.cut_at = (out + 1) * CUT_SHARE > len(ready), now
@@ -353,9 +351,11 @@
         out = link.cut_at is not None and not link.spare or rec.sent.get("out")
         if out or rec.phase != "ready" or not (rec.proven or self.bare):
             return 0.0
-        for since in (rec.ramp_from, link.ramp_from):
+        warm = self.settings.get("cold_time", 2 * RAMP_STEP)  # who is new does its whole part once it is warm
+        pace, least = max(1, min(RAMP_STEP, warm // 2)), max(RAMP_START, self.settings.get("cold_share", 0))
+        for since, step, start in ((rec.ramp_from, pace, least), (link.ramp_from, RAMP_STEP, RAMP_START)):
             if since is not None:
-                part = min(part, RAMP_START * 2.0 ** ((now - since) // RAMP_STEP))
+                part = min(part, start * 2.0 ** ((now - since) // step))
         if link.cut_at is not None:
             part = min(part, LAST_RESORT)
         if self._cold(now, rec):
