--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -21,6 +21,7 @@
 RESEND = 0.1            # part a weight must move by to be sent: the design page's tenth
 CUT_REPORTS = 2         # reports running over before a cut: the design page's
 CUT_TRIES = 5           # tries running that a cut for failures rests on: one or two failing are chance
+REFUSAL = SECOND // 4   # ns: a refusal is quick; one that took longer is of a server whose own check hung
 LATE_PROBE = 2          # failing tries that a probe without an answer in time stands for
 CUT_SHARE = 3           # at most one in this many listed ready servers is cut from a table: the design page's
 LAST_RESORT = 0.02      # part of its weight that a server past the cap on cuts keeps: some tries to hear it
@@ -193,8 +194,7 @@
         return 100 * max(0.0, rtt - (link.lows[0][1] if link.lows else rtt)) / rtt
 
     def _strain(self):
-        """Tells trouble of the fleet from that of a few servers, by the server of the middle try. Failures
-        alone are no strain: answers may be lost, links bad; in an overload what comes is slow too."""
+        """Strain is trouble of the fleet, told by the middle try's server; failures alone are none."""
         heard = [rec for rec in self.backends.values() if rec.tried >= 1]
         tries, asked = sum(rec.tried for rec in heard), sum(self.asked.values())
         if heard:
@@ -275,6 +275,7 @@
     def probed(self, now, backend, status, took, load):
         """A silent probe confirms a report of failures and keeps a cut server out."""
         rec = self.backends.get(backend)
+        status = "timeout" if status == "full" and took > REFUSAL else status
         if rec and status in ("ok", "full"):
             self._prove(now, rec)
         elif rec and status != "error" and not self.strained:
@@ -367,8 +368,7 @@
         return max(LEAST_WEIGHT, round(rec.listed * cost * part, 4))
 
     def _flush(self, now, only=None):
-        """Sends what differs from the wanted tables, of one backend or of all. Only what a rule needs may use
-        the second half of the channel; ordinary changes keep a pace of their own."""
+        """Sends what differs, of one backend or all; only a rule's lines use the channel's second half."""
         merging = now == self.flushed_at          # one reply, one message: more of it costs no head
         if only and self.short or now < self.next_flush and not merging:  # the oldest drains go first
             return self._flush_at(self.next_flush, now)
