Joiners who wait are bound as they came; no letting back at a start; few tries tell no strain

Ruled out: accepting and reading (joined within a turn), the list (whole at once). Lines at fault: Planner._bind_next, Coordinator.report (suspects of the first list), Planner._strain (`if heard`). Changed: who waits over a third of the drains' grace goes first, in the order they came; only what was told as not ready, or anew under a known name, is let back with its line; a look of under 20 tries tells nothing.

--- a/granitespool/facade.py
+++ b/granitespool/facade.py
@@ -62,9 +62,8 @@
         elif what == "list_news":
             known = self.planner.backends
             for entry in met["entries"]:
-                # A name that no list told before was shut out by nobody, in the first list it may have been
-                returned = entry["started"] > 0 and (not known or entry["backend"] in known)
-                if returned or entry["phase"] != "ready":
+                # A name that was not told before was shut out by nobody, or let back by who saw it return
+                if entry["phase"] != "ready" or entry["started"] > 0 and entry["backend"] in known:
                     self.suspects[entry["backend"]] = None
         if what in AS_THEY_COME:
             self._guarded(getattr(self.planner, what), *met.values())
--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -29,6 +29,7 @@
 MESSAGE_ROOM = 1.25     # times the shortest gap that keeps the messages to a proxy under their cap
 RECENT = 0.1            # part of the fleet sums that each look carries on: late as they are, no lag is added
 STRAINED_TIME = 0.65    # part of the shortest promised time: a mean above it means many answers come too late
+LOOK_LEAST = 20         # tries under which a look at the fleet is chance: the first reports after a start
 CALM_TIME = 0.5         # part of the shortest promised time: a mean under it ends a strain
 SHED_STEP = 0.95        # factor a look while the strain lasts, of what is let in and of what is answered
 SHED_BACK = 1.08        # factor a look without strain: the less is refused, the less is asked again
@@ -197,7 +198,7 @@
         """Strain is trouble of the fleet, told by the middle try's server; failures alone are none."""
         heard = [rec for rec in self.backends.values() if rec.tried >= 1]
         tries, asked = sum(rec.tried for rec in heard), sum(self.asked.values())
-        if heard:
+        if tries >= LOOK_LEAST:
             mean, half = 0.0, sum(rec.done for rec in heard) / 2
             for mean, done in sorted((rec.spent / rec.done, rec.done) for rec in heard if rec.done):
                 half -= done
@@ -380,8 +381,7 @@
         moves = sorted(self._moves(now, only, held))
         rule = sum(len(self.users[move[3]]) for move in moves if not move[0])
         full = SECOND * self.settings.get("backlog_limit", 1e9) / self.settings.get("lines_per_s", 1)
-        # Who waits to be bound goes on with another's old table and levels, and in a jam keeps it up for all:
-        # moves make room, as for drains. Harm: weights of the bound stand still while all join again.
+        # Who is not bound keeps a jam up by another's table: moves make room. Harm: weights stand still then.
         slow = self.lag > SLOW_LAG * full or bool(self.unbound)
         part = 0 if self.short else SLOW_PART if slow else 0.5
         crowded = self._room(RULE_PART) < rule / 2 and self._room(0.5) < 0  # few at a time are mostly heads
@@ -478,8 +478,8 @@
 
     def _bind_next(self, now):
         """Joiners are bound in turn, as there is room: who waits long first, then who has most traffic."""
-        soon = self.settings.get("empty_limit", SECOND) / 2
-        order = {p: (now - since < soon, -self.proxies[p][1]) for p, (_, since) in self.unbound.items()}
+        soon = self.settings.get("drain_grace", SECOND) / 3  # an old table may hold what no list names here
+        order = {p: (min(since, now - soon), -self.proxies[p][1]) for p, (_, since) in self.unbound.items()}
         all(self._bind(now, proxy) for proxy in sorted(order, key=order.get))
 
     def _bind(self, now, proxy):
