Settings that are numbers are checked as such, so that a wrong reload changes nothing; the toy runs

Seen: by reading, a configuration with a channel's pace in words or of 0, peers or zones that are no list, or a list that is no object, passed `load` or ended in a traceback; taken by SIGHUP it would have failed in the planner at each event after. `make toy` ended at once, since the pool wants its size now. Lines at fault: settings.renamed checked times only; config.load; examples/toy.py. Changed: figures are checked with their names, a pace of 0 is refused, whatever else has another type is one sentence. Tried: `make run` and `make toy` side by side, SIGHUP in between: three tables, `reloaded`, shed-b out of the table.

--- a/examples/toy.py
+++ b/examples/toy.py
@@ -15,7 +15,7 @@
 from granitespool.net.buffers import Pool
 from granitespool.net.client import dial, receive, send
 from granitespool.net.config import address
-from granitespool.net.frames import Reader, frame
+from granitespool.net.frames import LARGEST, Reader, frame
 from granitespool.net.loop import IN, SECOND, Loop
 
 CONFIG = json.loads((pathlib.Path(__file__).parent / "config.json").read_text())
@@ -87,7 +87,7 @@
             yield from send(sock, frame({"type": "joined", "node": 0, "locality": "north", "w": 20.0,
                                          "cold": True}), None)
             self.say("the proxy joined")
-            reader, reported = Reader(Pool()), self.loop.now
+            reader, reported = Reader(Pool(64), LARGEST), self.loop.now
             while self.loop.now - self.begun < END_AT:
                 if self.loop.now - reported >= SECOND:
                     reported = self.loop.now
--- a/granitespool/net/config.py
+++ b/granitespool/net/config.py
@@ -42,7 +42,13 @@
         raise BadInput(f"the configuration {path} is not JSON: {error}") from None
     if not isinstance(told, dict):
         raise BadInput(f"the configuration {path} is not an object")
-    told = {"type": "configuration", **told}
+    try:
+        return checked({"type": "configuration", **told})
+    except (TypeError, AttributeError) as error:
+        raise BadInput(f"the configuration {path} has a field of another type: {error}") from None
+
+
+def checked(told):
     seed = str(told.get("seed") or 0)
     try:
         seed = int(seed, 16)
@@ -64,7 +70,7 @@
         "peer_listen": address(told["peer_listen"]) if told.get("peer_listen") else None,
         "peers": [address(peer) for peer in told.get("peers") or ()],
         "peers_all": address(told["peers_all"]) if told.get("peers_all") else None,
-        "known": told.get("known") or {"index": 0, "endpoints": []},
+        "known": need({"known": {"index": 0, "endpoints": []}, **told}, "known", dict),
         "settings": settings_map(wire),
     }
 
--- a/granitespool/settings.py
+++ b/granitespool/settings.py
@@ -34,6 +34,10 @@
     "cold_share": ("rules.cold_from", False), "fall_multiple": ("rules.fall_multiple", False),
     "fall_time": ("rules.fall_us", True), "drain_needs_entry": ("rules.soft_removal", False),
 }
+FIGURES = frozenset((  # those of the settings and of a class that are numbers, and no times
+    "index", "planners", "lines_per_s", "message_head", "backlog_limit", "messages_limit", "reports_per_s",
+    "avoid_after", "try_factor", "standing_lines", "usual_retry", "proxies_expected", "slices", "cold_share",
+    "fall_multiple", "benefit", "late_share"))
 CLASS = {
     "name": ("name", False), "effect": ("semantics", False), "repeat_scope": ("key_scope", False),
     "repeat_window": ("window_us", True), "promised_time": ("aim_us", True),
@@ -80,8 +84,10 @@
         value = source
         for part in path.split("."):
             value = value.get(part) if isinstance(value, dict) else None
+        if value is not None and (is_time or ours in FIGURES):
+            figure({"type": "settings", path: value}, path)
         if value is not None:
-            result[ours] = int(need({"type": "settings", path: value}, path, NUM) * US) if is_time else value
+            result[ours] = int(value * US) if is_time else value
     return result
 
 
@@ -93,6 +99,8 @@
         for entry, flag in zip(classes, flags or []):
             entry[ours] = flag
     result["classes"] = classes
+    if not result.get("lines_per_s", 1):
+        raise BadInput("the settings' channel has no pace")
     result["subscribe"] = wire.get("membership_mode") == "subscribe"
     return result
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -38,6 +38,9 @@
     ({"seed": "xyz"}, "not in hex"), ({"settings": None}, "'settings'"),
     ({"settings": {"classes": {"a": 1}}}, "'classes'"),
     ({"settings": {"rules": {"cold_us": "long"}}}, "rules.cold_us"), ({"limits": 5}, "limits"),
+    ({"settings": {"family_info": {"egress_per_s": "fast"}}}, "egress_per_s"), ({"known": 5}, "'known'"),
+    ({"settings": {"family_info": {"egress_per_s": 0}}}, "no pace"), ({"peers": 5}, "another type"),
+    ({"limits": {"sockets": "many"}}, "'sockets'"), ({"settings": {"zones": 5}}, "'zones'"),
     ({"known": {"index": 1}}, "'endpoints'"), ("taken", "in use")])
 def test_a_wrong_configuration_is_one_sentence(monkeypatch, capsys, tmp_path, told, words):
     taken = socket.create_server(("127.0.0.1", 0))
