One list of classes, one condition for peers; a ramp's figures are read only while one lasts

Left: Streams._make_room gives up no other collector where the oldest one is itself in need of a buffer.

--- a/granitespool/net/service.py
+++ b/granitespool/net/service.py
@@ -36,13 +36,17 @@
         self.discovery = Discovery(self.loop, self.coordinator, self.log, config, uniform)
         self.probes = Probes(self.loop, self.coordinator, self.log, config, self.discovery.addresses)
         self.peers = None
-        if config["settings"].get("peers") and config["peer_listen"]:
+        if self._has_peers(config):
             self.peers = Peers(self.loop, self.coordinator, self.log, config)
         self.pool = Pool(config["buffers"])
         self.streams = Streams(self.loop, self.coordinator, self.log, self.pool, config,
                                self.discovery.addresses)
         self.log.event("serving", listen="{}:{}".format(*config["listen"]))
 
+    @staticmethod
+    def _has_peers(config):
+        return bool(config["settings"].get("peers") and config["peer_listen"])
+
     def _failed(self, error):
         self.log.event("failed", why="".join(traceback.format_exception(error)))
 
@@ -54,7 +58,7 @@
         except BadInput as error:
             return self.log.event("reload_refused", why=str(error))
         waits = [name for name in FIXED if config[name] != self.fixed[name]]
-        if (self.peers is not None) != bool(config["settings"].get("peers") and config["peer_listen"]):
+        if (self.peers is not None) != self._has_peers(config):
             waits.append("peers")
         waits += self.coordinator.new_settings(self.loop.now, config["settings"])
         for part in (self.discovery, self.probes, self.streams, *([self.peers] if self.peers else ())):
--- a/granitespool/net/streams.py
+++ b/granitespool/net/streams.py
@@ -41,7 +41,6 @@
     def __init__(self, loop, coordinator, log, pool, config, backends):
         self.backends = backends                 # those the list has named
         self.loop, self.coordinator, self.log, self.pool = loop, coordinator, log, pool
-        self.classes = {kind.get("name") for kind in config["settings"].get("classes") or ()}
         self.new_config(config)
         self.connections, self.strangers = {}, {}  # in order of age; those of them that have not joined
         self.proxies = {}                        # number -> its current stream
@@ -296,7 +295,7 @@
     def _usage(self, connection, message):
         self.coordinator.report(
             self.loop.now, "arrivals", proxy=self._own(connection, message),
-            grade=self._one_of(message, "route", self.classes), number=count(message, "total"),
+            grade=self._one_of(message, "route", self.coordinator.classes), number=count(message, "total"),
             unanswered=count(message, "errors"), window=time(message, "interval"))
 
     def _write(self, connection, data):
--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -353,10 +353,10 @@
         out = link.cut_at is not None and not link.spare or rec.sent.get("out")
         if out or rec.phase != "ready" or not (rec.proven or self.bare):
             return 0.0
-        warm = self.settings.get("cold_time", 2 * RAMP_STEP)  # who is new does its whole part once it is warm
-        pace, least = max(1, min(RAMP_STEP, warm // 2)), max(RAMP_START, self.settings.get("cold_share", 0))
         for since in (rec.ramp_from, link.ramp_from):
-            if since is not None:
+            if since is not None:                 # who is new does its whole part once it is warm
+                pace = max(1, min(RAMP_STEP, self.settings.get("cold_time", 2 * RAMP_STEP) // 2))
+                least = max(RAMP_START, self.settings.get("cold_share", 0))
                 part = min(part, least * 2.0 ** ((now - since) // pace))
         if link.cut_at is not None:
             part = min(part, LAST_RESORT)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -22,6 +22,10 @@
     return len(body).to_bytes(4, "little") + body
 
 
+def joining(proxy, zone):
+    return f'{{"type":"joined","node":{proxy},"locality":"{zone}","w":5.0,"cold":true}}'
+
+
 def accepted(listener):
     with suppress(OSError):              # nobody waits, or no descriptor is free
         sock = listener.accept()[0]
@@ -256,7 +260,7 @@
         self.discovery.setblocking(False)
 
     def end(self):
-        self.feed()
+        self.do_feed()
         if self.service:
             self.service.close()
             left = self.service.streams.pool.out, self.service.loop.all, self.service.coordinator.proxies
@@ -368,11 +372,11 @@
 
     def do_joins(self, name, proxy, zone):
         self.do_open(name)
-        self.do_say(name, f'{{"type":"joined","node":{proxy},"locality":"{zone}","w":5.0,"cold":true}}')
+        self.do_say(name, joining(proxy, zone))
 
     def do_waits(self, name, proxy, zone):  # its joining is sent before its connection is taken
         sock = socket.create_connection(self.begin().streams.listener.getsockname())
-        sock.sendall(framed([f'{{"type":"joined","node":{proxy},"locality":"{zone}","w":5.0,"cold":true}}']))
+        sock.sendall(framed([joining(proxy, zone)]))
         sock.setblocking(False)
         self.parties[name] = sock
         self.turn()
@@ -459,9 +463,6 @@
             os.close(self.fillers.pop())
 
     def do_feed(self):
-        self.feed()
-
-    def feed(self):
         resource.setrlimit(resource.RLIMIT_NOFILE, self.allowed)
         while self.fillers:
             os.close(self.fillers.pop())
