A state folder, first format; operator settings in INI; the log on structlog

Cause: a coordinator that dies forgets which backends were slow, failing or cold, and learns it anew for ten seconds.

Off without an operator's file.

--- /dev/null
+++ b/granitespool/cli/__init__.py
@@ -0,0 +1,93 @@
+"""granitespool: a central planner behind a layer of plain proxies.
+
+Usage:
+  granitespool [serve] [--config FILE] [--operator FILE]
+  granitespool check [--config FILE] [--operator FILE]
+  granitespool state (show | verify | compact) DIR
+  granitespool lab list
+  granitespool lab run EXPERIMENT [--set KEY=VALUE]... [--json] [--plot FILE]
+  granitespool version
+  granitespool (-h | --help)
+
+Commands:
+  serve    Serve as one coordinator until SIGTERM (the default); SIGHUP reads both files anew.
+           The log goes to standard output.
+  check    Read the configuration, the operator's settings or both, say in a line each what they hold, and end.
+  state    Look after a state folder: show what is held and what would be believed now, verify that nothing of
+           it is torn, or compact it to one snapshot.
+  lab      Play an experiment in virtual time: a file, or a name that `lab list` lists.
+  version  Print the version.
+
+Options:
+  --config FILE    The configuration; without it LB_CONFIG names the file.
+  --operator FILE  The operator's settings, an INI file (deploy/granitespool.ini shows every key); without it
+                   GRANITESPOOL_OPERATOR names the file, or all that it could set is off.
+  --set KEY=VALUE  Another value for a key of the experiment.
+  --json           The result as JSON instead of a table.
+  --plot FILE      A plot of the result as PNG, SVG or PDF; needs the extra `plot`.
+  -h --help        This text.
+"""
+import sys
+
+from docopt import DocoptExit, docopt
+
+from granitespool import __version__
+from granitespool.settings import BadInput
+
+FAILED = 1  # exit code where something that was read cannot be used
+MISUSED = 2  # exit code where the call itself is wrong
+
+
+def main(argv=None):
+    """Plays one call and returns its exit code; what a command alone needs is imported by it."""
+    argv = sys.argv[1:] if argv is None else argv
+    try:
+        told = docopt(__doc__, argv)
+    except DocoptExit:
+        # the library's own words about a wrong call are a warning of several lines; ours is one sentence
+        print(f"granitespool: {_misuse(argv)}\n\n{_usage()}", file=sys.stderr)
+        return MISUSED
+    except SystemExit:                   # --help, printed
+        return 0
+    try:
+        return _command(told)(told)
+    except (BadInput, OSError) as error:
+        print(f"granitespool: {error}", file=sys.stderr)
+        return FAILED
+
+
+def _command(told):
+    if told["version"]:
+        return _version
+    if told["state"]:
+        from granitespool.cli.state import run  # noqa: PLC0415
+    elif told["lab"]:
+        from granitespool.cli.lab import run  # noqa: PLC0415
+    elif told["check"]:
+        from granitespool.cli.check import run  # noqa: PLC0415
+    else:
+        from granitespool.cli.serve import run  # noqa: PLC0415
+    return run
+
+
+def _version(_):
+    print(f"granitespool {__version__}")
+    return 0
+
+
+def _usage():
+    return __doc__.partition("Usage:\n")[2].partition("\nCommands:")[0].join(("Usage:\n", "")).rstrip()
+
+
+def _misuse(argv):
+    """One sentence about a call that fits no line of the usage."""
+    known = {word for line in _usage().splitlines()[1:] for word in line.split()[1:2] if word.isalpha()}
+    known |= {"serve"}
+    first = next((word for word in argv if not word.startswith("-")), None)
+    if first is not None and first not in known and argv[0] == first:
+        return f"there is no command {first!r:.60}"
+    options = {word.partition("=")[0] for word in argv if word.startswith("-")}
+    unknown = sorted(options - {"--config", "--operator", "--set", "--json", "--plot", "-h", "--help"})
+    if unknown:
+        return f"there is no option {unknown[0]!r:.60}"
+    return "the call fits no line of the usage: " + (" ".join(argv)[:100] or "nothing")
--- /dev/null
+++ b/granitespool/cli/state.py
@@ -0,0 +1,1 @@
+def run(told): raise SystemExit(3)
--- a/granitespool/facade.py
+++ b/granitespool/facade.py
@@ -17,7 +17,7 @@
 PROBES, PEERS, REMARKS, GONE = "probes", "peers", "remarks", "gone"
 FIXED = "classes", "slices", "subscribe", "index"  # settings that what is kept here or there is built on
 MET = frozenset(("list_news", "heard", "arrivals", "joined", "left", "applied", "probed", "peer_said",
-                 "slice_given", "slice_line", "slice_load"))
+                 "slice_given", "slice_line", "slice_load", "recalled"))
 AS_THEY_COME = frozenset(("peer_said", "slice_load"))  # whose words the planner does not name
 
 
@@ -70,6 +70,15 @@
         else:
             self._guarded(getattr(self.planner, what), **met)
 
+    def listed(self):
+        """{backend: (phase, started ns)} of every backend that is known."""
+        return {rec.id: (rec.phase, rec.started) for rec in self.planner.backends.values()}
+
+    def learnt(self, backends):
+        """What the planner has learnt of the fleet and of these backends, to be reported as `recalled` by a
+        later life: (fleet, {backend: (facts, {zone: facts})}), times in ns of the clock that was told."""
+        return self.planner.learnt(backends)
+
     def new_settings(self, now, settings):
         """Settings for what is decided from now on; returns the names of those that wait for a restart."""
         waits = [name for name in FIXED if settings.get(name) != self.settings.get(name)]
--- a/granitespool/net/log.py
+++ b/granitespool/net/log.py
@@ -1,22 +1,47 @@
-"""The log: one JSON line an event, by orjson; it never blocks the loop.
+"""The log: one JSON line an event, by structlog over orjson; it never blocks the loop.
 
 Owns the descriptor it writes to only so far as its blocking mode, which `close` puts back."""
+import logging
 import os
 
 import orjson
+import structlog
 
 MOST = 256 * 1024  # bytes that wait for a reader: some thousand lines; later ones are counted and dropped
 OFTEN = 20         # lines a second of one event that others can cause at will: enough to see who and why
 WORD = 2000        # characters of a value that are kept: a traceback's end
+MS = 1_000_000     # ns in a millisecond
+
+Bound = structlog.make_filtering_bound_logger(logging.NOTSET)  # every event is a line; it holds no state
 
 
 class Log:
+    """`event` renders a line, `flush` writes; structlog's own configuration is neither read nor set."""
+
     def __init__(self, fd, clock, **always):
-        self.fd, self.clock, self.always, self.waiting, self.size, self.dropped = fd, clock, always, [], 0, 0
+        self.fd, self.clock, self.waiting, self.size, self.dropped = fd, clock, [], 0, 0
         self.second, self.told = 0, {}           # of the clock; event -> how often it came in that second
+        render = structlog.processors.JSONRenderer(orjson.dumps, default=str,
+                                                   option=orjson.OPT_APPEND_NEWLINE)
+        self.event = Bound(self, [self._stamped, render], always).info
         self.blocking = os.get_blocking(fd)
         os.set_blocking(fd, False)
 
+    def _stamped(self, _, __, fields):
+        """When and what come first; a long word keeps its end."""
+        line = {"at_ms": self.clock() // MS, "event": fields.pop("event")}
+        for key, value in fields.items():
+            line[key] = value[-WORD:] if isinstance(value, str) else value
+        return line
+
+    def info(self, line):
+        """structlog's way out: takes a rendered line, as far as there is room for it."""
+        if self.size + len(line) > MOST:
+            self.dropped += 1
+        else:
+            self.waiting.append(line)
+            self.size += len(line)
+
     def often(self, name, **fields):
         """An event that others can cause at will: some lines of it a second, then only their number."""
         second = self.clock() // 1_000_000_000
@@ -29,16 +54,6 @@
         if self.told[name] <= OFTEN:
             self.event(name, **fields)
 
-    def event(self, name, **fields):
-        fields = {key: value[-WORD:] if isinstance(value, str) else value for key, value in fields.items()}
-        line = orjson.dumps({"at_ms": self.clock() // 1_000_000, "event": name, **self.always, **fields},
-                            default=str, option=orjson.OPT_APPEND_NEWLINE)
-        if self.size + len(line) > MOST:
-            self.dropped += 1
-        else:
-            self.waiting.append(line)
-            self.size += len(line)
-
     def flush(self):
         """Writes what the reader takes at once; called at the end of each turn."""
         if not self.waiting:
--- a/granitespool/net/service.py
+++ b/granitespool/net/service.py
@@ -20,7 +20,7 @@
     `reread` returns replaces the configuration that serves, or changes nothing by ending in BadInput."""
 
     def __init__(self, config, log_fd, clock=None, reread=None):
-        self.reread, self.rereads = reread, False
+        self.reread, self.rereads, self.keeper = reread, False, None
         self.loop = Loop(self._failed, clock)
         self.log = Log(log_fd, self.loop.clock, name=config["name"])
         try:
@@ -30,7 +30,11 @@
             raise
 
     def _make(self, config):
-        self.fixed = {name: config[name] for name in FIXED}
+        self.fixed, self.operator = {name: config[name] for name in FIXED}, config.get("operator")
+        if self.operator and self.operator.state:
+            from granitespool.state.keeper import Keeper  # noqa: PLC0415 imported only where it is on
+            self.keeper = Keeper(self.loop, self.log, self.operator.state, config["name"], config["settings"])
+            config = {**config, "known": self.keeper.first_list(config["known"])}
         uniform = Random(config["seed"]).uniform
         self.coordinator = Coordinator(config["settings"], config["seed"], self.loop.now)
         self.discovery = Discovery(self.loop, self.coordinator, self.log, config, uniform)
@@ -41,6 +45,8 @@
         self.pool = Pool(config["buffers"])
         self.streams = Streams(self.loop, self.coordinator, self.log, self.pool, config,
                                self.discovery.addresses)
+        if self.keeper:
+            self.keeper.start(self.coordinator, self.discovery)
         self.log.event("serving", listen="{}:{}".format(*config["listen"]))
 
     @staticmethod
@@ -60,6 +66,12 @@
         waits = [name for name in FIXED if config[name] != self.fixed[name]]
         if (self.peers is not None) != self._has_peers(config):
             waits.append("peers")
+        operator = config.get("operator")
+        if self.operator or operator:
+            from granitespool.operator import restart_names  # noqa: PLC0415
+            waits += restart_names(self.operator, operator)
+            if self.keeper and operator and operator.state:
+                self.keeper.new_options(operator.state)
         waits += self.coordinator.new_settings(self.loop.now, config["settings"])
         for part in (self.discovery, self.probes, self.streams, *([self.peers] if self.peers else ())):
             part.new_config(config)
@@ -108,6 +120,8 @@
         self.loop.turn(self._end_of_turn, wait)
 
     def close(self):
+        if self.keeper:
+            self.keeper.close()
         self.log.event("stopped")
         self.loop.close()
         self.log.close()
--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -47,6 +47,9 @@
 SLOW_PART = 0.2         # part that moves may fill then: a drain must not wait behind them
 BIND_PART = 0.35        # part of the queue that binds may fill: drains need the rest
 MARK_LOST = 16 * SECOND  # ns after which a mark is lost: a full queue of two seconds, eight times slowed
+DOUBT = 3 * SECOND      # ns that a remembered strain holds unless it is met: reports of the first two seconds
+REMEMBERED = "phase", "zone", "kind", "listed", "started", "gone_at", "ramp_from", "proven", "missing"
+MET = "tries", "failed", "answered", "time", "over", "streak", "cut_at", "ramp_from"  # of a link
 SAVED = 5               # s of the channel's pace that ordinary changes may save up: the design page's period
 
 
@@ -57,6 +60,11 @@
         self.lows, self.spare = deque(), False    # means of the last minute; cut only down to a last resort
         self.over = self.streak = 0               # reports running over; tries running that failed
         self.cut_at = self.ramp_from = self.cost = None
+        self.recalled = False                     # its sums are what a former life had met
+
+    def fade(self, part):
+        self.tries, self.failed = self.tries * part, self.failed * part
+        self.answered, self.time = self.answered * part, self.time * part
 
 
 class Backend:  # the one record of a backend
@@ -85,6 +93,7 @@
         self.credit = SAVED * settings.get("lines_per_s", 1e9)  # lines for ordinary changes
         self.short = self.listed_once = self.strained = self.bare = False  # short: a rule line waits
         self.through, self.room, self.asked = 1.0, 1.0, {}  # answered part of tries; let-in part; by class
+        self.doubt = 0                            # until when a remembered strain is believed unheard
         if settings.get("subscribe"):
             host.observe(True)
         host.wake(PERIOD, "round")
@@ -139,7 +148,7 @@
         elif cookie == "observe":
             self.host.observe(True)
 
-    def _round(self, now):
+    def _costs(self, now):
         for zone in self.tables:
             kinds = defaultdict(list)
             for rec in self.backends.values():
@@ -148,8 +157,6 @@
                 if link.cost is not None and rec.phase == "ready" and link.cut_at is None:
                     kinds[rec.kind].append(link.cost)
                 link.heard = link.answered if link.cost else 0.0
-                link.tries, link.failed = link.tries * KEEP, link.failed * KEEP
-                link.answered, link.time = link.answered * KEEP, link.time * KEEP
             costs = sum(kinds.values(), [])
             self.average[zone] = sum(costs) / len(costs) if costs else None
             for rec in self.backends.values():
@@ -157,9 +164,15 @@
                 if like:
                     cost = (link.cost or 0) * link.heard + sum(like) / len(like) * PRIOR
                     link.cost = cost / (link.heard + PRIOR)
+
+    def _round(self, now):
+        self._costs(now)
+        for zone in self.tables:
+            for rec in self.backends.values():
+                rec.link(zone).fade(KEEP)
         pace = self.settings.get("lines_per_s", 1e9)
         self.credit = min(self.credit + ORDINARY * pace * PERIOD / SECOND, SAVED * pace)
-        self._strain()
+        self._strain(now)
         for rec in list(self.backends.values()):
             if rec.phase == "ready" and not rec.proven:
                 self._probe(now, rec)
@@ -194,7 +207,7 @@
     def _utilization(self, link, rtt):
         return 100 * max(0.0, rtt - (link.lows[0][1] if link.lows else rtt)) / rtt
 
-    def _strain(self):
+    def _strain(self, now):
         """Strain is trouble of the fleet, told by the middle try's server; failures alone are none."""
         heard = [rec for rec in self.backends.values() if rec.tried >= 1]
         tries, asked = sum(rec.tried for rec in heard), sum(self.asked.values())
@@ -211,6 +224,9 @@
                 self.room = min(1.0, self.room * SHED_BACK)
             elif asked > 0:
                 self.room = max(SHED_LEAST, SHED_STEP * min(self.room, sum(r.done for r in heard) / asked))
+        if self.doubt and (tries >= LOOK_LEAST or now >= self.doubt):
+            self.strained, self.doubt = self.strained and tries >= LOOK_LEAST, 0
+            self.room = self.room if self.strained else 1.0  # a jam that is over: the fleet is calm, nothing eases
         for rec in self.backends.values():
             rec.tried, rec.missed = rec.tried * RECENT, rec.missed * RECENT
             rec.done, rec.spent = rec.done * RECENT, rec.spent * RECENT
@@ -238,6 +254,8 @@
         answered = max(0, tries - failed) if mean > 0 else 0
         if answered:
             self._prove(now, rec)
+        if link.recalled:                         # what is met goes before what is remembered
+            link.recalled = link.fade(min(1.0, tries / link.tries))
         link.tries, link.failed = link.tries + tries, link.failed + min(failed, tries)
         link.answered, link.time = link.answered + answered, link.time + answered * mean
         rec.tried, rec.missed = rec.tried + tries, rec.missed + min(failed, tries)
@@ -340,6 +358,39 @@
         if table in self.slices:
             self.slices[table][backend] = weight
 
+    def learnt(self, backends):
+        """What is known of the fleet and of these backends, in plain values that `recalled` takes back."""
+        fleet = {key: getattr(self, key) for key in ("strained", "room", "through", "asked")}
+        return fleet, {rec.id: ({key: getattr(rec, key) for key in REMEMBERED}, {
+            zone: {"low": link.lows[0] if link.lows else None, **{key: getattr(link, key) for key in MET}}
+            for zone, link in rec.links.items()}) for rec in map(self.backends.get, backends) if rec}
+
+    def recalled(self, now, fleet, backends):
+        """What a former life had learnt, as far as it is believed; at a start, before anyone joins. The first
+        reports of a server outweigh it, cuts keep to their cap and are probed, cold servers stay guarded."""
+        for backend, (kept, links) in backends.items():
+            rec = self.backends[backend]
+            rec.ramp_from, rec.missing = rec.ramp_from or kept["ramp_from"], kept["missing"]
+            rec.proven = kept["proven"] or not self.settings.get("probes")
+            if rec.missing or not rec.proven:
+                self._probe(now, rec, True)
+            for zone, met in links.items():
+                link = rec.link(zone)
+                if not link.tries:
+                    for key in MET:
+                        setattr(link, key, met[key])
+                    link.lows, link.recalled = deque([met["low"]] if met["low"] else ()), link.tries > 0
+                    if link.cut_at is not None:
+                        link.cut_at = None
+                        self._cut(now, zone, link)
+                        self._probe(now, rec)
+        self.through = min(self.through, fleet["through"])
+        if fleet["strained"] or fleet["room"] < 1:
+            self.strained, self.room, self.asked = fleet["strained"], fleet["room"], dict(fleet["asked"])
+            self.doubt = now + DOUBT
+        self._costs(now)
+        self._flush(now)
+
     def peer_said(self, now, *words):
         """Nothing is decided on it, nor on the load of slices: each instance keeps the rules alone."""
 
--- /dev/null
+++ b/granitespool/state/record.py
@@ -0,0 +1,158 @@
+"""What is kept: values by key, their encoding, and the versions of the format with the steps between them.
+
+Version 1 kept a backend with all its zones in one value. Whatever can't be decoded is a Spoilt, which is no fault
+of ours but of what was read."""
+import msgspec
+
+FORMAT = 1             # the version that is written
+FLEET = b"f"           # key of the fleet's facts
+BACKEND = b"b"         # first byte of a backend's key, its name follows
+
+
+class Spoilt(Exception):
+    """A value that was read cannot be what was written."""
+
+
+class Header(msgspec.Struct, array_like=True, frozen=True):
+    """The first frame; `format` stays its first field in every version, so that any reader can tell it."""
+
+    format: int
+    name: str                # of the coordinator
+    classes: list[str]       # names in their order
+    zones: list[str]
+    wall: int                # ns, Unix time when the file was begun
+    mono: int                # ns, the monotonic clock then
+    start: int               # number of the start that wrote it, from 1
+    program: str             # the program's version
+
+
+class Link(msgspec.Struct, array_like=True, frozen=True):
+    """What one zone met at a backend; times in ns of Unix time, sums and means as the planner has them."""
+
+    tries: float
+    failed: float
+    answered: float
+    time: float
+    low: tuple[int, float] | None
+    over: int
+    streak: float
+    cut_at: int | None
+    ramp_from: int | None
+
+
+class Backend(msgspec.Struct, array_like=True, frozen=True):
+    at: int                  # ns, when it was taken out
+    phase: str
+    zone: str | None
+    kind: str | None
+    listed: float
+    started: int
+    gone_at: int | None
+    ramp_from: int | None
+    proven: bool
+    missing: bool
+    address: str | None      # host:port
+    links: dict[str, Link]   # by zone
+
+
+class Fleet(msgspec.Struct, array_like=True, frozen=True):
+    at: int
+    strained: bool
+    room: float
+    through: float
+    asked: dict[str, float]
+    index: int               # version of discovery's list
+
+
+class Kept(msgspec.Struct):
+    """A record as the newest version has it."""
+
+    fleet: Fleet | None
+    backends: dict[str, Backend]
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_header = msgspec.msgpack.Decoder(Header)
+_backend = msgspec.msgpack.Decoder(Backend)
+_fleet = msgspec.msgpack.Decoder(Fleet)
+_batch = msgspec.msgpack.Decoder(tuple[int, int, dict[bytes, bytes | None]])
+
+_end = msgspec.msgpack.Decoder(tuple[int, int, int])
+
+
+def _decoded(decoder, data):
+    try:
+        return decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise Spoilt(f"a value cannot be read: {error}") from None
+
+
+def header_format(data):
+    """The format version that a header's bytes tell, whatever else the version put into it."""
+    first = _decoded(msgspec.msgpack.Decoder(list), data)
+    if not first or type(first[0]) is not int:
+        raise Spoilt("a header tells no format version")
+    return first[0]
+
+
+def header(data):
+    return _decoded(_header, data)
+
+
+def batch_bytes(wall, mono, changes):
+    """The body of a frame of changes: when, and the new value of each key, None where it goes."""
+    return _encode((wall, mono, changes))
+
+
+def batch(data):
+    """(wall ns, monotonic ns, {key: value or None}) of a frame's body."""
+    return _decoded(_batch, data)
+
+
+def end_bytes(wall, mono, count):
+    """The body of the frame that ends a snapshot of so many values."""
+    return _encode((wall, mono, count))
+
+
+def end(data):
+    return _decoded(_end, data)
+
+
+value_bytes = _encode
+
+
+def values(fleet, backends, addresses, index, now):
+    """{key: Struct} of what the planner has learnt; `addresses` are (host, port) by backend."""
+    found = {}
+    if fleet is not None:
+        found[FLEET] = Fleet(at=now, index=index, **fleet)
+    for name, (facts, links) in backends.items():
+        where = addresses.get(name)
+        found[BACKEND + name.encode()] = Backend(
+            at=now, address="{}:{}".format(*where) if where else None,
+            links={zone: Link(**met) for zone, met in links.items()}, **facts)
+    return found
+
+
+def values_of(kept):
+    """{key: Struct} of a Kept, as the newest version has them."""
+    found = {BACKEND + name.encode(): each for name, each in kept.backends.items()}
+    if kept.fleet is not None:
+        found[FLEET] = kept.fleet
+    return found
+
+
+def kept(format, held):
+    """The Kept of {key: bytes} as any known format wrote it, or Spoilt."""
+    backends, fleet = {}, None
+    for key, data in held.items():
+        if key == FLEET:
+            fleet = _decoded(_fleet, data)
+        elif key[:1] == BACKEND:
+            try:
+                backends[key[1:].decode()] = _decoded(_backend, data)
+            except UnicodeDecodeError:
+                raise Spoilt("a backend's name is not UTF-8") from None
+        else:
+            raise Spoilt(f"there is a value of the unknown kind {key[:1]!r}")
+    return Kept(fleet, backends)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -12,7 +12,7 @@
 from stage import Desk, Sockets, Stage
 
 from granitespool import wirehost
-from granitespool.__main__ import main
+from granitespool.cli import main
 
 SCENARIOS = [(path.stem, *block.partition("\n")[::2])
              for path in sorted((pathlib.Path(__file__).parent / "scenarios").glob("*.txt"))
