State: format 2, the laboratory, tests on a disk that forgets

Cause: one zone's news wrote all zones of a backend again, and a link had no age of its own; nothing showed what a memory is worth at a restart.

Remembered sums that the first reports contradict are dropped. granitespool/lab plays real coordinators in virtual time ('lab run restart'). Tests tear, drop and reorder what was not synced at every call of a long run, flip every byte, kill real processes.

Found on the way by hypothesis: a ramp that began some 1,024 doublings ago (17 to 85 minutes after any cut returned) overflowed in _want, and each flush failed from then on; doublings now end at 40.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN = .venv/bin
 
-.PHONY: build test lint run toy
+.PHONY: build test lint run toy crash bench-log bench-state bench-restart
 
 build: $(BIN)/.built
 
@@ -22,3 +22,17 @@
 
 toy: build
 	PYTHONPATH=. $(BIN)/python examples/toy.py
+
+# long runs, outside CI
+
+crash: build
+	GRANITESPOOL_KILLS=300 $(BIN)/python -m pytest tests/test_state_service.py -k sigkill
+
+bench-log: build
+	$(BIN)/python -m bench.log
+
+bench-state: build
+	$(BIN)/python -m bench.state
+
+bench-restart: build
+	$(BIN)/python -m granitespool lab run restart --set "sizes=30x150, 120x640, 500x2000"
--- a/bench/log.py
+++ b/bench/log.py
@@ -2,7 +2,8 @@
 
     python -m bench.log [LINES]
 
-Both run in turns within one process, so that noise of the machine hits both; the median of the rounds is told."""
+Both run in turns within one process, so that noise of the machine hits both; the median of the rounds is
+told."""
 import os
 import statistics
 import sys
@@ -45,10 +46,12 @@
 
 def main(words):
     lines = int(words[0]) if words else LINES
-    plain, now = Plain(time.time_ns, name="n0"), Log(os.open(os.devnull, os.O_WRONLY), time.time_ns, name="n0")
+    plain = Plain(time.time_ns, name="n0")
+    now = Log(os.open(os.devnull, os.O_WRONLY), time.time_ns, name="n0")
     rounds = [(timed(plain, lines), timed(now, lines)) for _ in range(ROUNDS)]
     before, after = (statistics.median(column) for column in zip(*rounds))
-    print(f"a line: orjson alone {before:.2f} us, structlog over orjson {after:.2f} us ({after / before:.2f} times)")
+    print(f"a line: orjson alone {before:.2f} us, structlog over orjson {after:.2f} us "
+          f"({after / before:.2f} times)")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/bench/state.py
@@ -0,0 +1,235 @@
+"""What the state folder costs, by a synthetic fleet that no network serves.
+
+    python -m bench.state [open] [bytes] [stall] [memory]      (all of them where none is named)
+
+open    reading a folder of 1,000 backends x 10 zones until it is recalled; a start after SIGTERM
+bytes   bytes written a second while every link is heard once a second
+stall   the loop's longest turn while each sync takes 200 ms, without and with a store
+memory  resident memory over an hour of virtual time with new names each second"""
+import gc
+import os
+import random
+import sys
+import tempfile
+import time
+
+from granitespool.facade import Coordinator
+from granitespool.net.loop import Loop
+from granitespool.operator import State
+from granitespool.state import record, trust
+from granitespool.state.disk import Folder
+from granitespool.state.keeper import Keeper
+from granitespool.state.memory import Memory
+from granitespool.state.store import Store
+from granitespool.state.writer import read_back
+
+SECOND = 1_000_000_000
+MB = 1 << 20
+BEGAN = 10**18        # ns: the virtual clock begins here
+SYNC = 0.2            # s that each sync takes in `stall`
+STALL_FOR = 8         # s of each run of `stall`
+BYTES_FOR = 40        # s of each run of `bytes`
+PROGRAM = "bench"
+
+
+def settings(zones):
+    return {"zones": [f"z{k}" for k in range(zones)], "classes": [{"name": "pay"}], "cold_time": 10 * SECOND}
+
+
+class Fleet:
+    """Backends that report each second, a third of them slow, one in ten failing by a tenth, means with
+    noise."""
+
+    def __init__(self, backends, zones, seed=1):
+        self.random, self.zones, self.made = random.Random(seed), [f"z{k}" for k in range(zones)], 0
+        self.names, self.addresses, self.index = {}, {}, 0
+        for _ in range(backends):
+            self.add()
+
+    def add(self):
+        name = f"s-{self.made:08x}"
+        self.names[name] = 40_000_000 * (3 if self.made % 3 == 0 else 1), self.made % 10 == 1
+        self.addresses[name] = "127.0.0.1", 8081
+        self.made += 1
+        return name
+
+    def entry(self, name, phase="ready"):
+        return {"backend": name, "zone": "z0", "kind": "m", "cell": 0, "phase": phase, "weight": 1.0,
+                "started": 0}
+
+    def list(self, coordinator, now):
+        coordinator.report(now, "list_news", form="restored",
+                           entries=[self.entry(name) for name in self.names])
+
+    def report(self, coordinator, now, part=slice(None)):
+        """One report of each zone about each backend."""
+        for name, (mean, fails) in list(self.names.items())[part]:
+            for zone in self.zones:
+                tries = self.random.randint(5, 15)
+                failed = sum(self.random.random() < 0.1 for _ in range(tries)) if fails else 0
+                coordinator.report(now, "heard", zone=zone, backend=name, tries=tries, failed=failed,
+                                   mean=int(mean * self.random.gauss(1, 0.1)), window=SECOND, load={})
+
+
+def memory_mb():
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / MB
+
+
+def identity(zones):
+    return trust.Identity("n0", ["pay"], [f"z{k}" for k in range(zones)])
+
+
+def header(zones, now):
+    return lambda: record.Header(record.FORMAT, *identity(zones), now, 0, 1, PROGRAM)
+
+
+def played(folder, backends, zones, seconds, churn=0, look=None):
+    """Plays so many virtual seconds with a sweep each half second; returns (coordinator, fleet, store)."""
+    fleet, coordinator = Fleet(backends, zones), Coordinator(settings(zones), 1, BEGAN)
+    memory = Memory(State(folder="x"), identity(zones))
+    store = Store(Folder(folder), 64 * MB, header(zones, BEGAN))
+    fleet.list(coordinator, BEGAN)
+    for second in range(seconds):
+        now = BEGAN + second * SECOND
+        for _ in range(churn):
+            new, old = fleet.add(), next(iter(fleet.names))
+            del fleet.names[old]
+            coordinator.report(now, "list_news", form="changes", entries=[
+                {**fleet.entry(new), "started": now}, fleet.entry(old, "gone")])
+        fleet.report(coordinator, now)
+        for half in (now, now + SECOND // 2):
+            coordinator.tick(half)
+            for party in coordinator.parties():
+                while coordinator.pick(party) is not None:
+                    pass
+            names = list(coordinator.listed())
+            changes = memory.changes(coordinator, fleet.addresses, fleet.index, half, names, True)
+            if changes:
+                store.append(half, half, changes)
+        if look:
+            look(second)
+    return coordinator, fleet, store
+
+
+def measure_open():
+    with tempfile.TemporaryDirectory() as folder:
+        played(folder, 1000, 10, 15)
+        size, gap = sum(os.stat(entry).st_size for entry in os.scandir(folder)), SECOND
+        coordinator, now = Coordinator(settings(10), 1, BEGAN + 16 * SECOND), BEGAN + 15 * SECOND + gap
+        begun = time.perf_counter()
+        opened, _ = read_back(Folder(folder), 64 * MB)
+        read = time.perf_counter()
+        memory = Memory(State(folder="x"), identity(10))
+        memory.opened(opened.found, opened.kept, None, trust.Clocks(now, now))
+        carried = time.perf_counter()
+        known = memory.first_list({"index": -1})
+        listed = time.perf_counter()
+        coordinator.report(now, "list_news", form="restored", entries=[
+            {"backend": each["name"], "zone": each["zone"], "kind": each["type"], "cell": 0, "phase": "ready",
+             "weight": 1.0, "started": 0} for each in known["endpoints"]])
+        told = time.perf_counter()
+        belief = memory.recall(coordinator, now, trust.Clocks(now, now))
+        done = time.perf_counter()
+    print(f"open: 1,000 backends x 10 zones, {size / 1e6:.2f} MB, {opened.found.frames} frames: read "
+          f"{1e3 * (read - begun):.0f} ms, checked and carried {1e3 * (carried - read):.0f} ms, recalled "
+          f"{1e3 * (done - told):.0f} ms ({belief.links} links); "
+          f"the list itself {1e3 * (told - listed):.0f} ms")
+
+
+def measure_bytes():
+    for backends, zones in ((30, 2), (120, 4), (1000, 10)):
+        with tempfile.TemporaryDirectory() as folder:
+            *_, store = played(folder, backends, zones, BYTES_FOR)
+            size = sum(os.stat(entry).st_size for entry in os.scandir(folder))
+            print(f"bytes: {backends} backends x {zones} zones, {store.written / BYTES_FOR / 1e3:.1f} KB a "
+                  f"second, folder {size / 1e3:.0f} KB after {BYTES_FOR} s")
+
+
+class SlowFolder(Folder):
+    """A disk whose every sync takes 200 ms."""
+
+    def sync(self, name):
+        time.sleep(SYNC)
+        super().sync(name)
+
+    def sync_names(self):
+        time.sleep(SYNC)
+        super().sync_names()
+
+
+class Quiet:
+    def event(self, *_, **__):
+        """No log is measured here."""
+
+
+class Listed:
+    def __init__(self, fleet):
+        self.named, self.addresses, self.index = True, fleet.addresses, 1
+
+
+def stalls(backends, zones, folder):
+    """(longest, 99.9 % and mean turn in ms, turns) of a loop in real time that hears every link once a
+    second."""
+    loop, fleet = Loop(print), Fleet(backends, zones)
+    coordinator = Coordinator(settings(zones), 1, loop.now)
+    fleet.list(coordinator, loop.now)
+    keeper = None
+    if folder:
+        keeper = Keeper(loop, Quiet(), State(folder=folder, every_ms=1000), "n0", settings(zones),
+                        time.monotonic_ns, SlowFolder(folder))
+        keeper.start(coordinator, Listed(fleet))
+    pieces, times, end = 50, [], loop.now + STALL_FOR * SECOND
+
+    def reports():
+        while True:
+            for k in range(pieces):
+                fleet.report(coordinator, loop.now, slice(k, None, pieces))
+                yield None, 0, loop.now + SECOND // pieces
+    loop.spawn(reports())
+    gc.collect()
+    gc.disable()
+    while loop.now < end:
+        loop.turn(coordinator.tick, 0)
+        begun = time.perf_counter()
+        loop.turn(coordinator.tick, 2_000_000)
+        times.append(1e3 * (time.perf_counter() - begun))
+    gc.enable()
+    if keeper:
+        keeper.close()
+    loop.close()
+    times.sort()
+    return times[-1], times[int(len(times) * 0.999)], sum(times) / len(times), len(times)
+
+
+def measure_stall():
+    for backends, zones in ((120, 4), (500, 4)):
+        without = stalls(backends, zones, None)
+        with tempfile.TemporaryDirectory() as folder:
+            with_store = stalls(backends, zones, folder)
+        print(f"stall: {backends} backends x {zones} zones, each sync {SYNC * 1e3:.0f} ms: longest turn "
+              f"{without[0]:.1f} ms without a store, {with_store[0]:.1f} ms with; 99.9 % "
+              f"{without[1]:.1f} and {with_store[1]:.1f} ms; mean {without[2]:.2f} and "
+              f"{with_store[2]:.2f} ms")
+
+
+def measure_memory():
+    seen = {}
+
+    def look(second):
+        if second in (300, 1200, 2400, 3599):
+            gc.collect()
+            seen[second] = memory_mb()
+    with tempfile.TemporaryDirectory() as folder:
+        played(folder, 30, 2, 3600, churn=1, look=look)
+        size = sum(os.stat(entry).st_size for entry in os.scandir(folder))
+    print("memory: 30 backends x 2 zones, a new name a second: "
+          + ", ".join(f"{mb:.1f} MB at {second} s" for second, mb in seen.items())
+          + f"; folder {size / 1e3:.0f} KB")
+
+
+MEASURES = {"open": measure_open, "bytes": measure_bytes, "stall": measure_stall, "memory": measure_memory}
+
+if __name__ == "__main__":
+    for what in sys.argv[1:] or MEASURES:
+        MEASURES[what]()
--- a/granitespool/cli/__init__.py
+++ b/granitespool/cli/__init__.py
@@ -12,8 +12,9 @@
 Commands:
   serve    Serve as one coordinator until SIGTERM (the default); SIGHUP reads both files anew.
            The log goes to standard output.
-  check    Read the configuration, the operator's settings or both, say in a line each what they hold, and end.
-  state    Look after a state folder: show what is held and what would be believed now, verify that nothing of
+  check    Read the configuration, the operator's settings or both, say in a line each what they hold, and
+  end. state    Look after a state folder: show what is held and what would be believed now, verify that
+  nothing of
            it is torn, or compact it to one snapshot.
   lab      Play an experiment in virtual time: a file, or a name that `lab list` lists.
   version  Print the version.
--- a/granitespool/cli/files.py
+++ b/granitespool/cli/files.py
@@ -19,6 +19,7 @@
 
 
 def read(told):
-    """The whole of what the service is told; both files are read and checked before anyone hears of either."""
+    """The whole of what the service is told; both files are read and checked before anyone hears of
+    either."""
     path, operator = paths(told)
     return {**config.load(path), "operator": operator_of(operator)}
--- a/granitespool/net/service.py
+++ b/granitespool/net/service.py
@@ -1,4 +1,5 @@
 """One coordinator on sockets: makes the parts, ends each turn, and gives all back at the end."""
+import time
 import traceback
 from random import Random
 
@@ -19,8 +20,8 @@
     """`run` serves until `stop` is called, which a signal handler may do. So may it call `reload`: then what
     `reread` returns replaces the configuration that serves, or changes nothing by ending in BadInput."""
 
-    def __init__(self, config, log_fd, clock=None, reread=None):
-        self.reread, self.rereads, self.keeper = reread, False, None
+    def __init__(self, config, log_fd, clock=None, reread=None, mono=time.monotonic_ns):
+        self.reread, self.rereads, self.keeper, self.mono = reread, False, None, mono
         self.loop = Loop(self._failed, clock)
         self.log = Log(log_fd, self.loop.clock, name=config["name"])
         try:
@@ -33,7 +34,8 @@
         self.fixed, self.operator = {name: config[name] for name in FIXED}, config.get("operator")
         if self.operator and self.operator.state:
             from granitespool.state.keeper import Keeper  # noqa: PLC0415 imported only where it is on
-            self.keeper = Keeper(self.loop, self.log, self.operator.state, config["name"], config["settings"])
+            self.keeper = Keeper(self.loop, self.log, self.operator.state, config["name"], config["settings"],
+                                 self.mono)
             config = {**config, "known": self.keeper.first_list(config["known"])}
         uniform = Random(config["seed"]).uniform
         self.coordinator = Coordinator(config["settings"], config["seed"], self.loop.now)
--- a/granitespool/operator.py
+++ b/granitespool/operator.py
@@ -1,20 +1,15 @@
-"""The operator's settings: one INI file, a section for each subsystem, a subsystem off where its section is absent.
-
-`load(path)` gives an Operator, or ends in BadInput with one sentence that names the file, the section, the key,
-what was found and what would do. Each key has its unit in its name. Nothing here knows what a section is for."""
-import configparser
-import difflib
-import math
-import os
+"""The operator's settings: one INI file, a section for each subsystem, a subsystem off where its section is
+absent.
+
+`load(path)` gives an Operator, or ends in BadInput with one sentence that names the file, the section, the
+key, what was found and what would do. Each key has its unit in its name. Nothing here knows what a section
+is for."""
 from typing import Annotated
 
 import msgspec
-from msgspec import Meta, inspect
-
-from granitespool.settings import BadInput
+from msgspec import Meta
 
-LARGEST = 1 << 20  # bytes of the file that are read: an example with every key commented takes a hundredth
-FOUND = 60         # characters of a wrong value that a sentence repeats
+from granitespool import ini
 
 
 class State(msgspec.Struct, frozen=True, kw_only=True):
@@ -43,87 +38,7 @@
 
 def load(path):
     """The Operator of an INI file, or BadInput with one sentence."""
-    try:
-        with open(path, "rb") as file:
-            data = file.read(LARGEST + 1)
-        if len(data) > LARGEST:
-            raise BadInput(f"{path}: it is over {LARGEST} bytes")
-        return parse(path, data.decode())
-    except OSError as error:
-        raise BadInput(f"{path}: the operator's settings cannot be read: {error.strerror}") from None
-    except UnicodeDecodeError as error:
-        raise BadInput(f"{path}: byte {error.start} is not UTF-8") from None
-
-
-def parse(path, text):
-    """The Operator of an INI text; `path` names it in sentences, and relative paths stand beside it."""
-    parser = configparser.ConfigParser(interpolation=None, default_section="", strict=True,
-                                       delimiters=("=",), comment_prefixes=("#", ";"))
-    parser.optionxform = str
-    try:
-        parser.read_string(text)
-    except (configparser.DuplicateSectionError, configparser.DuplicateOptionError) as error:
-        what = f"[{error.section}]" + (f" {error.option}" if hasattr(error, "option") else "")
-        raise BadInput(f"{path}: {what} stands twice, the second time in line {error.lineno}") from None
-    except configparser.MissingSectionHeaderError as error:
-        raise BadInput(f"{path}: line {error.lineno} stands before any [section]") from None
-    except configparser.ParsingError as error:
-        raise BadInput(f"{path}: line {error.errors[0][0]} is no 'key = value'") from None
-    except configparser.Error as error:
-        raise BadInput(f"{path}: {' '.join(str(error).split())}") from None
-    sections = {}
-    for name in parser.sections():
-        if name not in SECTIONS:
-            raise BadInput(f"{path}: the section [{name:.{FOUND}}] is unknown{_nearest(name, SECTIONS)}")
-        sections[name] = _section(path, name, SECTIONS[name], dict(parser[name]))
-    return Operator(**sections)
-
-
-def _section(path, name, struct, told):
-    fields = {field.name: field for field in msgspec.structs.fields(struct)}
-    values = {}
-    for key, text in told.items():
-        if key not in fields:
-            raise BadInput(f"{path}: [{name}] {key:.{FOUND}} is unknown{_nearest(key, fields)}")
-        values[key] = _value(path, name, fields[key], text)
-    for key, field in fields.items():
-        if field.required and key not in values:
-            raise BadInput(f"{path}: [{name}] lacks {key}, {_wanted(field.type)}")
-    try:
-        return struct(**values)
-    except ValueError as error:
-        raise BadInput(f"{path}: [{name}] {error}") from None
-
-
-def _value(path, name, field, text):
-    try:
-        value = msgspec.convert(text, field.type, strict=False)
-        if isinstance(value, float) and not math.isfinite(value):
-            raise msgspec.ValidationError
-    except msgspec.ValidationError:
-        raise BadInput(f"{path}: [{name}] {field.name} is {text!r:.{FOUND}}, where "
-                       f"{_wanted(field.type)} would do") from None
-    if (name, field.name) in PATHS:
-        value = os.path.join(os.path.dirname(os.path.abspath(path)), value)
-    return value
-
-
-def _wanted(kind):
-    """What a field takes, in words, from its schema alone."""
-    info = inspect.type_info(kind)
-    if isinstance(info, inspect.BoolType):
-        return "true or false"
-    if isinstance(info, (inspect.IntType, inspect.FloatType)):
-        word = "a whole number" if isinstance(info, inspect.IntType) else "a number"
-        return f"{word} from {info.ge:,} to {info.le:,}".replace(",", "")
-    if isinstance(info, inspect.LiteralType):
-        return "one of " + ", ".join(map(str, info.values))
-    return "a text that is not empty"
-
-
-def _nearest(name, known):
-    near = difflib.get_close_matches(name, list(known), 1)
-    return f"; the nearest known name is {near[0]}" if near else f"; known are {', '.join(known)}"
+    return Operator(**ini.load(path, SECTIONS, PATHS))
 
 
 def restart_names(before, now):
--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -12,6 +12,7 @@
 BETA = 80.0             # percent: where f(u) is half way up and a server counts as running over, the paper's
 PERIOD = 1 * SECOND     # ns between recomputes: the period of the reports, so each weight move is small
 RAMP_STEP = 5 * SECOND  # ns for each doubling of a new server's part: the design page's round
+RAMP_DONE = 40          # doublings after which a ramp is over whatever it began at; past 1,023 a float ends
 RAMP_START = 0.25       # part of its weight that a new or returned server starts at: the design page's
 LOWEST_SPAN = 60 * SECOND  # ns that the lowest mean is looked for in: the design page's minute
 GONE_KEPT = 20 * SECOND  # ns that who is gone is known: joiners with old tables are bound in a few seconds
@@ -50,6 +51,8 @@
 DOUBT = 3 * SECOND      # ns that a remembered strain holds unless it is met: reports of the first two seconds
 REMEMBERED = "phase", "zone", "kind", "listed", "started", "gone_at", "ramp_from", "proven", "missing"
 MET = "tries", "failed", "answered", "time", "over", "streak", "cut_at", "ramp_from"  # of a link
+DISAGREE = 2.5          # factor between means that is no chance: an eighth of three answers' means pass it
+DISAGREE_FAILED = 0.35  # the same of shares that failed
 SAVED = 5               # s of the channel's pace that ordinary changes may save up: the design page's period
 
 
@@ -226,7 +229,7 @@
                 self.room = max(SHED_LEAST, SHED_STEP * min(self.room, sum(r.done for r in heard) / asked))
         if self.doubt and (tries >= LOOK_LEAST or now >= self.doubt):
             self.strained, self.doubt = self.strained and tries >= LOOK_LEAST, 0
-            self.room = self.room if self.strained else 1.0  # a jam that is over: the fleet is calm, nothing eases
+            self.room = self.room if self.strained else 1.0  # who is calm has nothing to ease
         for rec in self.backends.values():
             rec.tried, rec.missed = rec.tried * RECENT, rec.missed * RECENT
             rec.done, rec.spent = rec.done * RECENT, rec.spent * RECENT
@@ -254,8 +257,13 @@
         answered = max(0, tries - failed) if mean > 0 else 0
         if answered:
             self._prove(now, rec)
-        if link.recalled:                         # what is met goes before what is remembered
-            link.recalled = link.fade(min(1.0, tries / link.tries))
+        if link.recalled and tries >= HEARD_LEAST:
+            # What is met goes before what is remembered: where the two disagree, all of that is dropped.
+            link.recalled, moved = False, abs(failed / tries - link.failed / link.tries) > DISAGREE_FAILED
+            ratio = mean * link.answered / link.time if answered and link.time else 1.0
+            if moved or not 1 / DISAGREE < ratio < DISAGREE:
+                link.fade(0.0)
+                link.lows.clear()
         link.tries, link.failed = link.tries + tries, link.failed + min(failed, tries)
         link.answered, link.time = link.answered + answered, link.time + answered * mean
         rec.tried, rec.missed = rec.tried + tries, rec.missed + min(failed, tries)
@@ -408,7 +416,7 @@
             if since is not None:                 # who is new does its whole part once it is warm
                 pace = max(1, min(RAMP_STEP, self.settings.get("cold_time", 2 * RAMP_STEP) // 2))
                 least = max(RAMP_START, self.settings.get("cold_share", 0))
-                part = min(part, least * 2.0 ** ((now - since) // pace))
+                part = min(part, least * 2.0 ** min(RAMP_DONE, (now - since) // pace))
         if link.cut_at is not None:
             part = min(part, LAST_RESORT)
         if self._cold(now, rec):
--- a/granitespool/state/__init__.py
+++ b/granitespool/state/__init__.py
@@ -1,4 +1,5 @@
-"""What a coordinator has learnt, kept in a folder that outlasts the process, and believed as far as its age allows.
+"""What a coordinator has learnt, kept in a folder that outlasts the process, and believed as far as its age
+allows.
 
     frames    bytes of a file: frames with their checks                          no I/O
     record    what is kept, by key; versions of the format and the steps between no I/O
--- a/granitespool/state/disk.py
+++ b/granitespool/state/disk.py
@@ -41,6 +41,17 @@
             raise
         self.lock_fd = fd
 
+    def keep_lock(self):
+        """Owns the folder still, also where it was taken away and another came in its place; or Owned."""
+        try:
+            same = self.lock_fd is not None and os.path.samestat(os.fstat(self.lock_fd),
+                                                                 os.stat(self._at(LOCK)))
+        except FileNotFoundError:
+            same = False
+        if not same:
+            self.close()
+            self.lock()
+
     def names(self):
         return sorted(os.listdir(self.path))
 
@@ -58,6 +69,9 @@
         if fd is None:
             fd = os.open(self._at(name), os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
             self.open[name] = fd
+        elif not os.fstat(fd).st_nlink:
+            # The folder was taken away: what is written to a file without a name is gone with the process.
+            raise FileNotFoundError(errno.ENOENT, os.strerror(errno.ENOENT))
         view = memoryview(data)
         while view:
             view = view[os.write(fd, view):]
--- a/granitespool/state/frames.py
+++ b/granitespool/state/frames.py
@@ -1,8 +1,9 @@
-"""Frames of a state file: bytes in, checked frames out. The page docs/state-format.md tells the same in words.
+"""Frames of a state file: bytes in, checked frames out. The page docs/state-format.md tells the same in
+words.
 
-A file begins with MAGIC and the generation it was written for; a frame is a length, a checksum and a body whose
-first byte is its kind. The checksum also covers where the frame stands and in which generation, so that a block
-of another file, a moved block or a block of zeros is no frame."""
+A file begins with MAGIC and the generation it was written for; a frame is a length, a checksum and a body
+whose first byte is its kind. The checksum also covers where the frame stands and in which generation, so
+that a block of another file, a moved block or a block of zeros is no frame."""
 import struct
 
 import google_crc32c
@@ -51,8 +52,8 @@
 
 
 def frames(data):
-    """Yields (offset, kind, body) for each frame of a file's bytes; ends in Torn where one is no frame, also at
-    the end of a file that ends within a frame."""
+    """Yields (offset, kind, body) for each frame of a file's bytes; ends in Torn where one is no frame, also
+    at the end of a file that ends within a frame."""
     generation, offset, end = generation_of(data), BEGIN, len(data)
     while offset < end:
         if end - offset < HEAD.size:
--- a/granitespool/state/keeper.py
+++ b/granitespool/state/keeper.py
@@ -1,75 +1,54 @@
-"""The keeper: takes what was learnt out of the coordinator in small steps and hands it to the writer; at a start
-it has what is believed of the record recalled.
-
-One coroutine of the loop. It sweeps all backends each half of `every_ms`, a few at a time, so that no turn is felt
-and what was learnt is on the disk within `every_ms` where the disk takes no longer than the other half."""
-import time
+"""The keeper: a coroutine of the loop that brings a coordinator's memory to the writer, and the record back.
 
+It sweeps all backends each half of `every_ms`, a few at a time, so that no turn is felt and what was learnt
+is on the disk within `every_ms` where the disk takes no longer than the other half."""
 from granitespool import __version__
 from granitespool.settings import BadInput
 from granitespool.state import record, trust
 from granitespool.state.disk import Folder
-from granitespool.state.ledger import Ledger
+from granitespool.state.memory import NONE, Memory
 from granitespool.state.writer import Writer
 
 SECOND = 1_000_000_000  # ns
 MS = 1_000_000          # ns
-OPEN_MOST = 0.4         # s that a start waits for the folder: a member that is up without a memory still serves
+OPEN_MOST = 0.4         # s that a start waits for the folder: who is up without a memory still serves
 LAST_MOST = 0.25        # s for the last snapshot after SIGTERM: 0.7 s pass at least until SIGKILL
-NONE = "the folder holds no record"  # a first start: no line is worth it
-LINKS_A_STEP = 200      # links taken out in one step: half a millisecond
+LINKS_A_STEP = 200      # links taken out in one step: a millisecond
+NAMED_WAIT = SECOND // 20  # ns between looks whether any list has come
 
 
 class Keeper:
-    """Made before the coordinator, since the list to start from may be the record's; `start` follows it."""
+    """Made before the coordinator, since the list to start from may be the record's; `start` follows it. Owns
+    the writer, and gives it up in `close`."""
 
-    def __init__(self, loop, log, options, name, settings, mono=time.monotonic_ns, folder=None):
+    def __init__(self, loop, log, options, name, settings, mono, folder=None):
         self.loop, self.log, self.options, self.mono = loop, log, options, mono
         self.identity = trust.Identity(name, [kind.get("name") for kind in settings.get("classes") or ()],
                                        list(settings.get("zones") or ()))
-        self.ledger = Ledger(int(options.half_life_s * SECOND))
-        self.writer = Writer(folder or Folder(options.folder), options.most_mb, self._header, loop.wake,
-                             lambda: (loop.clock(), mono()))
-        self.opened = self.writer.wait_opened(OPEN_MOST)
-        if self.opened and self.opened.owned:
-            raise BadInput(self.opened.owned)
-        self.then = trust.Clocks(0, 0)
-        self.why = self._why()
-        if self.opened and self.opened.kept and not self.why:
-            # what was kept stays, with its age, until something newer takes its place
-            self.ledger.written = record.values_of(self.opened.kept)
-            self.writer.submit({key: record.value_bytes(value) for key, value in self.ledger.written.items()})
-        self.own_list = False
+        self.memory = Memory(options, self.identity)
         self.coordinator = self.discovery = self.task = None
+        self.writer = Writer(folder or Folder(options.folder), options.most_mb, self._header, loop.wake,
+                             self._clocks)
+        opened = self.writer.wait_opened(OPEN_MOST)
+        if opened and opened.owned:
+            raise BadInput(opened.owned)
+        for problem in opened.problems if opened else ():
+            log.event("state_torn", why=problem)
+        if opened:
+            carried = self.memory.opened(opened.found, opened.kept, opened.why, self._clocks())
+            if carried:
+                self.writer.submit(carried)
+        else:
+            self.memory.why = "the folder could not be read in time"
 
     def _header(self, start):
-        return record.Header(record.FORMAT, *self.identity, self.loop.clock(), self.mono(), start, __version__)
+        return record.Header(record.FORMAT, *self.identity, *self._clocks(), start, __version__)
 
     def _clocks(self):
         return trust.Clocks(self.loop.clock(), self.mono())
 
-    def _why(self):
-        """Why the record is not believed at all, or None."""
-        opened = self.opened
-        if opened is None:
-            return "the folder could not be read in time"
-        for problem in opened.problems:
-            self.log.event("state_torn", why=problem)
-        if opened.kept is None:
-            return opened.why or NONE
-        self.then = trust.Clocks(*opened.found.clocks)
-        return trust.doubt(opened.found.header, self.then, self._clocks(), self.identity,
-                           int(self.options.oldest_s * SECOND))
-
     def first_list(self, known):
-        """The list to start from: the record's, where it is believed and newer, else the one that was told."""
-        kept = self.opened and self.opened.kept
-        index = known.get("index")
-        if kept is None or self.why:
-            return known
-        newer = trust.newer_list(kept, index if isinstance(index, int) else 0)
-        self.own_list = newer is not None
-        return newer or known
+        return self.memory.first_list(known)
 
     def start(self, coordinator, discovery):
         self.coordinator, self.discovery = coordinator, discovery
@@ -78,44 +57,37 @@
     def new_options(self, options):
         """What may change while the service runs: how often, how much, how long it is believed."""
         self.options = options
+        self.memory.new_options(options)
         self.writer.limit(options.most_mb)
 
     def _run(self):
         while not self.discovery.named:          # the first list that names anyone is the one to start from
-            yield None, 0, self.loop.now + SECOND // 20
+            yield None, 0, self.loop.now + NAMED_WAIT
+            self.tell()
         self._recall()
         while True:
             names = list(self.coordinator.listed())
             step = max(1, LINKS_A_STEP // max(1, len(self.identity.zones)))
             steps = [names[at:at + step] for at in range(0, len(names), step)] or [[]]
             pause = self.options.every_ms * MS // 2 // len(steps)
-            for part in steps:
-                self._hand_on(part, part is steps[-1])
+            for number, part in enumerate(steps, 1):
+                self._hand_on(part, number == len(steps))
                 yield None, 0, self.loop.now + pause
                 self.tell()
 
     def _recall(self):
-        kept, self.opened = self.opened and self.opened.kept, None  # the record is not needed any more
-        if self.why:
-            if self.why != NONE:
-                self.log.event("recall_ignored", why=self.why)
-            return
-        now, listed, options = self._clocks(), self.coordinator.listed(), self.options
-        belief = trust.believed(kept, self.then, now, listed, frozenset(self.identity.zones), self.own_list,
-                                int(options.half_life_s * SECOND), int(options.oldest_s * SECOND))
-        self.coordinator.report(self.loop.now, "recalled", fleet=belief.fleet, backends=belief.backends)
-        self.log.event("recalled", age_ms=(now.wall - self.then.wall) // MS, backends=len(belief.backends),
-                       links=belief.links, cuts=belief.cuts, strained=belief.fleet["strained"],
-                       room=round(belief.fleet["room"], 3), left_out=belief.left, list=self.own_list)
-
-    def _hand_on(self, names, all_seen):
-        """Takes these backends out, with the fleet and what is gone after the last of them."""
-        fleet, backends = self.coordinator.learnt(names)
-        values = record.values(fleet if all_seen else None, backends, self.discovery.addresses,
-                               self.discovery.index, self.loop.now)
-        changes = {key: record.value_bytes(value) for key, value in self.ledger.due(values).items()}
-        if all_seen:
-            changes.update(dict.fromkeys(self.ledger.gone(self.coordinator.listed())))
+        belief, why = self.memory.recall(self.coordinator, self.loop.now, self._clocks()), self.memory.why
+        if belief:
+            self.log.event("recalled", age_ms=(self.loop.now - self.memory.then.wall) // MS,
+                           backends=len(belief.backends), links=belief.links, cuts=belief.cuts,
+                           strained=belief.fleet["strained"], room=round(belief.fleet["room"], 3),
+                           left_out=belief.left, list=self.memory.own_list)
+        elif why != NONE:
+            self.log.event("recall_ignored", why=why)
+
+    def _hand_on(self, names, last):
+        changes = self.memory.changes(self.coordinator, self.discovery.addresses, self.discovery.index,
+                                      self.loop.now, names, last)
         if changes:
             self.writer.submit(changes)
 
--- a/granitespool/state/record.py
+++ b/granitespool/state/record.py
@@ -1,12 +1,14 @@
-"""What is kept: values by key, their encoding, and the versions of the format with the steps between them.
+"""What is kept: values by key, their encoding, and the versions of the format with the step between them.
 
-Version 1 kept a backend with all its zones in one value. Whatever can't be decoded is a Spoilt, which is no fault
-of ours but of what was read."""
+Version 1 kept a backend with all its zones in one value, so that one zone's news wrote all of them again;
+version 2 has a value for each backend and zone, with a time of its own. Whatever can't be decoded is a
+Spoilt, which is no fault of ours but of what was read."""
 import msgspec
 
-FORMAT = 1             # the version that is written
+FORMAT = 2             # the version that is written
 FLEET = b"f"           # key of the fleet's facts
 BACKEND = b"b"         # first byte of a backend's key, its name follows
+LINK = b"l"            # first byte of a link's key, (backend, zone) as msgpack follows
 
 
 class Spoilt(Exception):
@@ -18,7 +20,7 @@
 
     format: int
     name: str                # of the coordinator
-    classes: list[str]       # names in their order
+    classes: list[str | None]  # names in their order
     zones: list[str]
     wall: int                # ns, Unix time when the file was begun
     mono: int                # ns, the monotonic clock then
@@ -26,8 +28,9 @@
     program: str             # the program's version
 
 
-class Link(msgspec.Struct, array_like=True, frozen=True):
-    """What one zone met at a backend; times in ns of Unix time, sums and means as the planner has them."""
+class Link1(msgspec.Struct, array_like=True, frozen=True):
+    """What one zone met at a backend, as version 1 had it within its backend; times in ns of Unix time, sums
+    and means as the planner has them."""
 
     tries: float
     failed: float
@@ -40,8 +43,12 @@
     ramp_from: int | None
 
 
-class Backend(msgspec.Struct, array_like=True, frozen=True):
+class Link(Link1, array_like=True, frozen=True):
     at: int                  # ns, when it was taken out
+
+
+class Backend(msgspec.Struct, array_like=True, frozen=True):
+    at: int
     phase: str
     zone: str | None
     kind: str | None
@@ -52,7 +59,10 @@
     proven: bool
     missing: bool
     address: str | None      # host:port
-    links: dict[str, Link]   # by zone
+
+
+class Backend1(Backend, array_like=True, frozen=True):
+    links: dict[str, Link1]  # by zone
 
 
 class Fleet(msgspec.Struct, array_like=True, frozen=True):
@@ -68,12 +78,15 @@
     """A record as the newest version has it."""
 
     fleet: Fleet | None
-    backends: dict[str, Backend]
+    backends: dict[str, tuple[Backend, dict[str, Link]]]  # by name; links by zone
 
 
 _encode = msgspec.msgpack.Encoder().encode
 _header = msgspec.msgpack.Decoder(Header)
 _backend = msgspec.msgpack.Decoder(Backend)
+_backend1 = msgspec.msgpack.Decoder(Backend1)
+_link = msgspec.msgpack.Decoder(Link)
+_link_key = msgspec.msgpack.Decoder(tuple[str, str])
 _fleet = msgspec.msgpack.Decoder(Fleet)
 _batch = msgspec.msgpack.Decoder(tuple[int, int, dict[bytes, bytes | None]])
 
@@ -121,38 +134,61 @@
 value_bytes = _encode
 
 
+def link_key(backend, zone):
+    return LINK + _encode((backend, zone))
+
+
 def values(fleet, backends, addresses, index, now):
-    """{key: Struct} of what the planner has learnt; `addresses` are (host, port) by backend."""
+    """{backend, or None for the fleet: {key: Struct}} of what the planner has learnt; `addresses` are
+    (host, port) by backend."""
     found = {}
     if fleet is not None:
-        found[FLEET] = Fleet(at=now, index=index, **fleet)
+        found[None] = {FLEET: Fleet(at=now, index=index, **fleet)}
     for name, (facts, links) in backends.items():
         where = addresses.get(name)
-        found[BACKEND + name.encode()] = Backend(
-            at=now, address="{}:{}".format(*where) if where else None,
-            links={zone: Link(**met) for zone, met in links.items()}, **facts)
+        found[name] = {BACKEND + name.encode(): Backend(
+            at=now, address="{}:{}".format(*where) if where else None, **facts)}
+        for zone, met in links.items():
+            found[name][link_key(name, zone)] = Link(at=now, **met)
     return found
 
 
 def values_of(kept):
-    """{key: Struct} of a Kept, as the newest version has them."""
-    found = {BACKEND + name.encode(): each for name, each in kept.backends.items()}
+    """The same of a Kept."""
+    found = {name: {BACKEND + name.encode(): facts,
+                    **{link_key(name, zone): link for zone, link in links.items()}}
+             for name, (facts, links) in kept.backends.items()}
     if kept.fleet is not None:
-        found[FLEET] = kept.fleet
+        found[None] = {FLEET: kept.fleet}
     return found
 
 
-def kept(format, held):
+def kept(version, held):
     """The Kept of {key: bytes} as any known format wrote it, or Spoilt."""
-    backends, fleet = {}, None
+    fleet, backends, links = None, {}, {}
     for key, data in held.items():
-        if key == FLEET:
-            fleet = _decoded(_fleet, data)
-        elif key[:1] == BACKEND:
-            try:
-                backends[key[1:].decode()] = _decoded(_backend, data)
-            except UnicodeDecodeError:
-                raise Spoilt("a backend's name is not UTF-8") from None
-        else:
-            raise Spoilt(f"there is a value of the unknown kind {key[:1]!r}")
-    return Kept(fleet, backends)
+        try:
+            if key == FLEET:
+                fleet = _decoded(_fleet, data)
+            elif key[:1] == BACKEND:
+                backends[key[1:].decode()] = _decoded(_backend if version > 1 else _backend1, data)
+            elif key[:1] == LINK and version > 1:
+                name, zone = _decoded(_link_key, key[1:])
+                links.setdefault(name, {})[zone] = _decoded(_link, data)
+            else:
+                raise Spoilt(f"there is a value of the unknown kind {key[:1]!r}")
+        except UnicodeDecodeError:
+            raise Spoilt("a backend's name is not UTF-8") from None
+    if version == 1:
+        backends, links = from_1(backends)
+    return Kept(fleet, {name: (each, links.get(name, {})) for name, each in backends.items()})
+
+
+def from_1(backends):
+    """The step from version 1 to 2: a link takes its backend's time."""
+    def part(struct, whole, **more):
+        names = [name for name in struct.__struct_fields__ if name not in more]
+        return struct(**{name: getattr(whole, name) for name in names}, **more)
+    return ({name: part(Backend, each) for name, each in backends.items()},
+            {name: {zone: part(Link, link, at=each.at) for zone, link in each.links.items()}
+             for name, each in backends.items()})
--- a/granitespool/state/store.py
+++ b/granitespool/state/store.py
@@ -1,9 +1,10 @@
 """The store: a map of keys to bytes, kept in one file a generation through a Folder.
 
-A file holds a header, a snapshot, the snapshot's end, then one frame for each batch of changes. A new generation
-is written aside, synced, renamed, its folder synced; only then are the older ones removed. What was read back is
-always a whole state: the newest file whose snapshot is whole, with the changes up to the first frame that is torn.
-Whatever fails, the next write begins a new generation: what a failed write or sync left is never built on."""
+A file holds a header, a snapshot, the snapshot's end, then one frame for each batch of changes. A new
+generation is written aside, synced, renamed, its folder synced; only then are the older ones removed. What
+was read back is always a whole state: the newest file whose snapshot is whole, with the changes up to the
+first frame that is torn. Whatever fails, the next write begins a new generation: what a failed write or sync
+left is never built on."""
 import errno
 import re
 
@@ -17,7 +18,7 @@
 COMPACT_LEAST = 256 * 1024  # bytes of changes under which no new generation is worth its syncs
 COMPACT_GROWTH = 4        # times the snapshot that the changes after it may take: what a start has to read
 VALUE_HEAD = 16           # bytes that a key and value take in a frame beside their own, at most
-FILE_HEAD = 4096          # bytes of a file beside its values: begin, header, ends and heads of frames, at most
+FILE_HEAD = 4096          # bytes of a file beside its values, at most: begin, header, heads of frames
 
 
 class Newer(Exception):
@@ -100,8 +101,8 @@
 
 
 def recover(folder, most):
-    """The newest whole state in the folder as a Found, or None; and the list of what was wrong. Newer where any
-    file is of a newer format. Files of more than `most` bytes are not ours and not read."""
+    """The newest whole state in the folder as a Found, or None; and the list of what was wrong. Newer where
+    any file is of a newer format. Files of more than `most` bytes are not ours and not read."""
     problems, whole = [], ours(folder.names())[0]
     for generation in sorted(whole, reverse=True):
         name = whole[generation]
@@ -118,7 +119,8 @@
 
 
 class Store:
-    """Writes what is handed to it; `held` is the whole state, also what no write has brought to the disk yet."""
+    """Writes what is handed to it; `held` is the whole state, also what no write has brought to the disk
+    yet."""
 
     def __init__(self, folder, most, header):
         """`header()` gives a Header for a new file; `most` bytes that the folder may hold."""
@@ -128,14 +130,15 @@
         self.live = FILE_HEAD        # bytes that a snapshot of `held` takes, at most
 
     def append(self, wall, mono, changes):
-        """Changes are on the disk and synced afterwards, or an OSError tells why not; then they wait in `held`
-        for the next call."""
+        """Changes are on the disk and synced afterwards, or an OSError tells why not; then they wait in
+        `held` for the next call."""
         self.take(changes)
         if self.name is not None:
             body = record.batch_bytes(wall, mono, changes)
             data = frames.frame(self.generation, self.size, CHANGED, body)
             changed = self.size + len(data) - self.base
-            if len(data) - frames.HEAD.size <= frames.BODY_MOST and self.size + len(data) + self.live <= self.most \
+            room = self.size + len(data) + self.live <= self.most  # the next snapshot must fit beside it
+            if len(body) < frames.BODY_MOST and room \
                     and changed <= max(COMPACT_LEAST, COMPACT_GROWTH * self.base):
                 return self._add(data)
         return self.begin(wall, mono)
--- a/granitespool/state/trust.py
+++ b/granitespool/state/trust.py
@@ -41,8 +41,9 @@
 
 
 def age_of(then, now):
-    """ns that have passed, or None where a clock went backward in between. A machine that was started anew has a
-    monotonic clock that tells nothing; then it always tells less than the wall clock does, which is the age."""
+    """ns that have passed, or None where a clock went backward in between. A machine that was started anew
+    has a monotonic clock that tells nothing; then it always tells less than the wall clock does, which is
+    the age."""
     wall, mono = now.wall - then.wall, now.mono - then.mono
     if wall < 0 or mono > wall + CLOCK_SLACK:
         return None
@@ -56,7 +57,8 @@
     for what in "classes", "zones":
         theirs, here = getattr(header, what), getattr(identity, what)
         if theirs != here:
-            return f"it was written for the {what} {', '.join(theirs):.100}, and now they are {', '.join(here):.100}"
+            then, now = (", ".join(map(str, names))[:100] for names in (theirs, here))
+            return f"it was written for the {what} {then}, and now they are {now}"
     return None
 
 
@@ -80,24 +82,24 @@
     return {"index": kept.fleet.index, "snapshot": True, "endpoints": [
         {"name": name, "address": each.address, "zone": each.zone, "type": each.kind, "status": each.phase,
          "weight": each.listed, "since_ms": each.started // 1_000_000}
-        for name, each in kept.backends.items()]}
+        for name, (each, _) in kept.backends.items()]}
 
 
 def believed(kept: Kept, then, now, listed, zones, own_list, half_life, oldest):
-    """The Belief of a record that was last written at the Clocks `then`, of which nothing gave a doubt. `listed`:
-    {backend: (phase, started)} of the newest list; `own_list`: that list is the record's own; times in ns."""
+    """The Belief of a record that was last written at the Clocks `then`, of which nothing gave a doubt.
+    `listed`: {backend: (phase, started)} of the newest list; `own_list`: that list is the record's own;
+    times in ns."""
     def belief(at):
         old = now.wall - min(at, then.wall)
         return 0.0 if old > oldest else 0.5 ** (old / half_life)
     left, backends, links, cuts = {}, {}, 0, 0
-    for name, each in kept.backends.items():
-        part = belief(each.at)
-        reason = _left_out(each, listed.get(name), part)
+    for name, (each, met) in kept.backends.items():
+        reason = _left_out(each, listed.get(name), belief(each.at))
         if reason:
             left[reason] = left.get(reason, 0) + 1
             continue
-        found = {zone: _link(link, part, now.wall) for zone, link in each.links.items()
-                 if zone in zones and sane(link)}
+        found = {zone: _link(link, part, now.wall) for zone, link in met.items()
+                 if zone in zones and sane(link) and (part := belief(link.at))}
         backends[name] = {"ramp_from": _past(each.ramp_from, now.wall), "proven": each.proven,
                           "missing": each.missing and own_list}, found
         links += len(found)
@@ -142,4 +144,4 @@
     likely = part >= LIKELY
     return {"strained": fleet.strained and likely, "room": 1 - (1 - fleet.room) * part if likely else 1.0,
             "through": 1 - (1 - fleet.through) * part,
-            "asked": {name: number for name, number in fleet.asked.items() if isfinite(number) and number >= 0}}
+            "asked": {name: number for name, number in fleet.asked.items() if 0 <= number <= SUM_MOST}}
--- a/granitespool/state/writer.py
+++ b/granitespool/state/writer.py
@@ -1,8 +1,9 @@
-"""The writer: one thread that owns the folder and its store, since a sync blocks for as long as the disk likes.
+"""The writer: one thread that owns the folder and its store, since a sync blocks for as long as the disk
+likes.
 
-The loop hands over changes and never waits; what waits for the disk is one value a key, the newest. A disk that
-fails is told once, tried again with growing pauses, and told once more when it is well. No decision is taken here:
-what is worth writing and what is believed stand in ledger and trust."""
+The loop hands over changes and never waits; what waits for the disk is one value a key, the newest. A disk
+that fails is told once, tried again with growing pauses, and told once more when it is well. No decision is
+taken here: what is worth writing and what is believed stand in ledger and trust."""
 import threading
 from collections import deque
 
@@ -43,7 +44,8 @@
     """`submit` and `drain` are the loop's side, all else runs in the thread."""
 
     def __init__(self, folder, most_mb, header, wake, clocks):
-        """`header(start)` gives a Header; `wake()` has the loop look at `drain`; `clocks()` gives (wall, mono)."""
+        """`header(start)` gives a Header; `wake()` has the loop look at `drain`; `clocks()` gives (wall,
+        mono)."""
         self.folder, self.most, self.wake, self.clocks = folder, most_mb * MB, wake, clocks
         self.header = header
         self.changed = threading.Condition()     # guards all below up to the thread
@@ -159,16 +161,20 @@
             wall, mono = self.clocks()
             try:
                 store.most = self.most
+                if again:
+                    self.folder.keep_lock()
                 if closing:
                     self._last(store, wall, mono, changes)
                 else:
                     store.append(wall, mono, changes)
-            except OSError as error:             # the store holds what was handed over, and writes it next time
+            except OSError as error:             # the store holds what it was handed, and writes it next time
                 failed = self._failed(error, failed)
                 if closing or self._rest(pause):
                     return
                 pause, again = min(PAUSE_MOST, pause * 2), True
                 continue
+            except Owned as error:
+                return self._tell("state_failed", why=str(error), retry=False)
             if failed:
                 self._tell("state_back")
             failed, again, pause = False, False, PAUSE_FIRST
--- /dev/null
+++ b/tests/disks.py
@@ -0,0 +1,129 @@
+"""A folder that forgets: what was not synced may be lost, torn or in the wrong order after a crash.
+
+It has the calls of state.disk.Folder. Files are inodes with what is safe and what is there; names are safe
+only after `sync_names`. `crash_at` ends the call of that number half way in Crash, `fails` has calls end in
+OSError."""
+import errno
+import os
+
+
+class Crash(Exception):
+    """The machine stops here."""
+
+
+class Inode:
+    def __init__(self, data=b""):
+        self.safe, self.data = data, data
+
+
+class Forgetful:
+    def __init__(self, files=None):
+        self.safe_names = {name: Inode(data) for name, data in (files or {}).items()}
+        self.present, self.pending = dict(self.safe_names), []   # names now; changes of names not yet safe
+        self.calls, self.crash_at, self.fails, self.open = 0, None, {}, {}
+        self.log = []                                            # (number, call, name) of each call so far
+
+    def _call(self, call, name=""):
+        """Whether this call is the one that the machine stops in."""
+        self.calls += 1
+        self.log.append((self.calls, call, name))
+        code = self.fails.get(call)
+        if code:
+            raise OSError(code, os.strerror(code))
+        return self.calls == self.crash_at
+
+    def _there(self, name):
+        if name not in self.present:
+            raise FileNotFoundError(errno.ENOENT, os.strerror(errno.ENOENT))
+        return self.present[name]
+
+    def make(self):
+        if "make" in self.fails:
+            raise OSError(self.fails["make"], os.strerror(self.fails["make"]))
+
+    lock = keep_lock = make
+
+    def close(self):
+        self.open = {}
+
+    def names(self):
+        return sorted(self.present)
+
+    def read(self, name, most):
+        return self._there(name).data[:most]
+
+    def size(self, name):
+        return len(self._there(name).data)
+
+    def append(self, name, data):
+        if self.fails.get("append"):             # a disk that is full takes some of it
+            data = data[:len(data) // 2]
+        if name not in self.present:
+            self.present[name] = Inode()
+            self.pending.append(("make", name, self.present[name]))
+        inode = self.present[name]
+        self.open[name] = inode
+        inode.data += bytes(data)
+        if self._call("append", name):
+            raise Crash
+
+    def sync(self, name):
+        inode = self.open[name]
+        if self.fails.get("sync"):               # the system forgets it, and says so once
+            inode.data = inode.safe + bytes(len(inode.data) - len(inode.safe))
+        if self._call("sync", name):
+            raise Crash
+        self.open[name].safe = self.open[name].data
+
+    def rename(self, name, new):
+        stops = self._call("rename", name)
+        self.present[new] = self.present.pop(name)
+        if name in self.open:
+            self.open[new] = self.open.pop(name)
+        self.pending.append(("rename", name, new))
+        if stops:
+            raise Crash
+
+    def unlink(self, name):
+        stops = self._call("unlink", name)
+        self._there(name)
+        self.shut(name)
+        del self.present[name]
+        self.pending.append(("unlink", name, None))
+        if stops:
+            raise Crash
+
+    def sync_names(self):
+        stops = self._call("sync_names")
+        if stops:
+            raise Crash
+        self.safe_names, self.pending = dict(self.present), []
+
+    def shut(self, name):
+        self.open.pop(name, None)
+
+    def after_crash(self, keep, tear):
+        """The files as the machine finds them when it is up again. `keep(number)` says whether a change of
+        names that was not safe is there all the same, `tear(data)` what is found of bytes that were not."""
+        names = dict(self.safe_names)
+        for number, (kind, name, more) in enumerate(self.pending):
+            if not keep(number):
+                continue
+            if kind == "make":
+                names[name] = more
+            elif kind == "rename" and name in names:
+                names[more] = names.pop(name)
+            elif kind == "unlink":
+                names.pop(name, None)
+        return {name: inode.safe + tear(inode.data[len(inode.safe):]) for name, inode in names.items()}
+
+
+def tears(size):
+    """Ways in which bytes that were not synced are found: cut at each of some lengths, zeros, holes."""
+    some = {0, 1, 3, 4, 7, 8, 9, size // 2, size - 9, size - 1, size}
+    lengths = range(size + 1) if size < 40 else sorted(some)
+    found = [lambda data, n=n: data[:n] for n in lengths]
+    found.append(lambda data: bytes(len(data)))
+    found.append(lambda data: bytes(len(data) // 2) + data[len(data) // 2:])
+    found.append(lambda data: data[:len(data) // 2] + bytes(len(data) - len(data) // 2))
+    return found
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -115,6 +115,27 @@
     def do_join(self, proxy, zone):
         self.begin().joined(self.now, int(proxy), zone, True, 5.0)
 
+    def do_recalls(self, *words):    # ZONE/ID/TRIES/FAILED/MEAN[/cut], unproven/ID, strained/ROOM/CLASS=N
+        fleet, backends = {"strained": False, "room": 1.0, "through": 1.0, "asked": {}}, {}
+
+        def of(backend):
+            return backends.setdefault(backend, ({"ramp_from": None, "proven": True, "missing": False}, {}))
+        for word in words:
+            kind, *rest = word.split("/")
+            if kind == "strained":
+                fleet.update(strained=True, room=float(rest[0]), asked={
+                    name: value(number) for name, number in (pair.split("=") for pair in rest[1:])})
+            elif kind == "unproven":
+                of(rest[0])[0]["proven"] = False
+            else:
+                tries, failed, mean = map(value, rest[1:4])
+                of(rest[0])[1][kind] = {
+                    "tries": float(tries), "failed": float(failed), "answered": float(tries - failed),
+                    "time": float((tries - failed) * mean), "low": (self.now, mean) if mean else None,
+                    "over": 0, "streak": 0, "cut_at": self.now - 10**9 if "cut" in rest else None,
+                    "ramp_from": None}
+        self.begin().recalled(self.now, fleet, backends)
+
     def do_crowd(self, number, zone):
         for proxy in range(int(number)):
             self.do_join(proxy, zone)
