--- a/granitespool/__init__.py
+++ b/granitespool/__init__.py
@@ -1,2 +1,2 @@
 """granitespool: a central planner behind a layer of plain proxies."""
-__version__ = "0.2.0"
+__version__ = "0.3.0"
--- a/granitespool/state/writer.py
+++ b/granitespool/state/writer.py
@@ -93,7 +93,8 @@
     def _tell(self, event, **fields):
         with self.changed:
             self.told.append((event, fields))
-        self.wake()
+            if not self.closing:                 # the loop may be gone by then, and its descriptor another's
+                self.wake()
 
     def _run(self):
         try:
--- a/tests/test_state_service.py
+++ b/tests/test_state_service.py
@@ -91,14 +91,16 @@
     assert recover(disk, MOST)[0].held[b"a"] == b"4999"
 
 
-def test_a_close_does_not_wait_for_a_disk_that_hangs():
-    disk, gate = Forgetful(), threading.Event()
+def test_a_close_does_not_wait_for_a_disk_that_hangs_and_wakes_no_loop_that_is_gone():
+    disk, gate, woken = Forgetful(), threading.Event(), []
     disk.sync = lambda name: gate.wait(10)
-    writer, begun = writer_on(disk), time.monotonic()
+    writer, begun = Writer(disk, 1, header, lambda: woken.append(1), lambda: (1, 1)), time.monotonic()
     writer.submit({b"a": b"1"})
     assert writer.close(0.1) is False and time.monotonic() - begun < 1
+    disk.fails = {"rename": errno.EIO}
     gate.set()
     writer.thread.join(5)
+    assert events(writer) == ["state_failed"] and not woken
 
 
 def test_a_folder_that_cannot_be_opened_is_used_once_it_can(monkeypatch):
