Managing: a YANG model, datastores with confirmed commits, TLS doors, NETCONF

Need: installations that manage everything against a YANG model read the coordinator's state and change its settings.

Change: granitespool/manage (model checked by yangson, edits, datastores, mapping, harm, rights), net/tls and net/door (TLS 1.3 over memory BIOs on the own loop), granitespool/netconf, 'granitespool keys'. SIGHUP goes through the same datastores where a door is on; settings that managers changed outlast a restart through the state folder, and a commit is answered after their sync.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 build: $(BIN)/.built
 
-$(BIN)/.built: requirements.txt requirements-dev.txt
+$(BIN)/.built: requirements.txt requirements-manage.txt requirements-dev.txt
 	test -d .venv || $(PYTHON) -m venv .venv
 	$(BIN)/pip -q install -r requirements-dev.txt
 	touch $@
@@ -16,6 +16,7 @@
 
 lint: build
 	$(BIN)/ruff check .
+	$(BIN)/pyang --strict --lint granitespool/manage/granitespool.yang
 
 run: build
 	$(BIN)/python -m granitespool serve --config examples/config.json
--- a/granitespool/cli/__init__.py
+++ b/granitespool/cli/__init__.py
@@ -4,6 +4,8 @@
   granitespool [serve] [--config FILE] [--operator FILE]
   granitespool check [--config FILE] [--operator FILE]
   granitespool state (show | verify | compact) DIR
+  granitespool keys make DIR [--name NAME]... [--user NAME]... [--days DAYS]
+  granitespool keys show FILE...
   granitespool lab list
   granitespool lab run EXPERIMENT [--set KEY=VALUE]... [--json] [--plot FILE]
   granitespool version
@@ -16,6 +18,8 @@
   end. state    Look after a state folder: show what is held and what would be believed now, verify that
   nothing of
            it is torn, or compact it to one snapshot.
+  keys     Make a private authority, a server's and clients' certificates for trying out; or say of whom
+           certificates are and when they end (exit code 1 where one has ended, or will within two weeks).
   lab      Play an experiment in virtual time: a file, or a name that `lab list` lists.
   version  Print the version.
 
@@ -23,6 +27,9 @@
   --config FILE    The configuration; without it LB_CONFIG names the file.
   --operator FILE  The operator's settings, an INI file (deploy/granitespool.ini shows every key); without it
                    GRANITESPOOL_OPERATOR names the file, or all that it could set is off.
+  --name NAME      A name or address that the server is reached by [default: 127.0.0.1].
+  --user NAME      A client's common name [default: operations].
+  --days DAYS      How long certificates hold [default: 90].
   --set KEY=VALUE  Another value for a key of the experiment.
   --json           The result as JSON instead of a table.
   --plot FILE      A plot of the result as PNG, SVG or PDF; needs the extra `plot`.
@@ -62,6 +69,8 @@
         return _version
     if told["state"]:
         from granitespool.cli.state import run  # noqa: PLC0415
+    elif told["keys"]:
+        from granitespool.cli.keys import run  # noqa: PLC0415
     elif told["lab"]:
         from granitespool.cli.lab import run  # noqa: PLC0415
     elif told["check"]:
@@ -88,7 +97,8 @@
     if first is not None and first not in known and argv[0] == first:
         return f"there is no command {first!r:.60}"
     options = {word.partition("=")[0] for word in argv if word.startswith("-")}
-    unknown = sorted(options - {"--config", "--operator", "--set", "--json", "--plot", "-h", "--help"})
+    unknown = sorted(options - {"--config", "--operator", "--set", "--json", "--plot", "--name", "--user",
+                                "--days", "-h", "--help"})
     if unknown:
         return f"there is no option {unknown[0]!r:.60}"
     return "the call fits no line of the usage: " + (" ".join(argv)[:100] or "nothing")
--- a/granitespool/facade.py
+++ b/granitespool/facade.py
@@ -79,11 +79,40 @@
         later life: (fleet, {backend: (facts, {zone: facts})}), times in ns of the clock that was told."""
         return self.planner.learnt(backends)
 
+    def pictured_fleet(self):
+        """Figures of the whole: joined, unbound, waiting (lines), lag (ns), strained, room, through, and
+        tables as (zone, number of lines, {class: (share, retries)})."""
+        planner = self.planner
+        return {"joined": len(planner.proxies), "unbound": len(planner.unbound), "waiting": planner.waiting,
+                "lag": planner.lag, "strained": planner.strained, "room": planner.room,
+                "through": planner.through,
+                "tables": [(zone, len(self.tables.get(table, ())), {
+                    self.classes[k]: level for k, level in sorted(self.levels.get(table, {}).items())})
+                    for zone, table in planner.tables.items()]}
+
+    def pictured(self, backend):
+        """(phase, zone, kind and proven by name, {zone: (weight, cost in ns or None, cut, shut out)}) of a
+        backend, or None where it is not known."""
+        rec = self.planner.backends.get(backend)
+        return rec and ({"phase": rec.phase, "zone": rec.zone, "kind": rec.kind, "proven": rec.proven}, {
+            zone: (rec.sent.get(table, 0.0), link and link.cost, bool(link) and link.cut_at is not None,
+                   backend in self.withdrawn)
+            for zone, table in self.planner.tables.items() for link in (rec.links.get(zone),)})
+
+    def joined_zones(self):
+        """Zones that proxies have joined from."""
+        return {zone for zone, _ in self.planner.proxies.values()}
+
+    def waits(self, settings):
+        """Names of these settings that differ from those in force and would wait for a restart."""
+        names = [name for name in FIXED if settings.get(name) != self.settings.get(name)]
+        if "classes" in names and self._class_names(settings) == self.classes:
+            names.remove("classes")  # tables and levels go by their order; their figures may change
+        return names
+
     def new_settings(self, now, settings):
         """Settings for what is decided from now on; returns the names of those that wait for a restart."""
-        waits = [name for name in FIXED if settings.get(name) != self.settings.get(name)]
-        if "classes" in waits and self._class_names(settings) == self.classes:
-            waits.remove("classes")  # tables and levels go by their order; their figures may change
+        waits = self.waits(settings)
         self.settings = {**settings, **{name: self.settings.get(name) for name in waits}}
         self.now = max(self.now, now)
         self._guarded(self.planner.new_settings, self.settings)
--- a/granitespool/ini.py
+++ b/granitespool/ini.py
@@ -18,7 +18,8 @@
 
 
 def load(path, schemas, paths=()):
-    """{section: Struct} of a file; `schemas`: {section: Struct's type}; `paths`: (section, key) of values
+    """{section: Struct} of a file; `schemas`: {section: Struct's type}, "user.*" for any [user.NAME];
+    `paths`: (section, key) of values
     that are paths, relative ones stand beside the file."""
     try:
         with open(path, "rb") as file:
@@ -50,9 +51,10 @@
         raise BadInput(f"{path}: {' '.join(str(error).split())}") from None
     sections = {}
     for name in parser.sections():
-        if name not in schemas:
+        schema = schemas.get(name) or schemas.get(name.partition(".")[0] + ".*" if "." in name else None)
+        if schema is None:
             raise BadInput(f"{path}: the section [{name:.{FOUND}}] is unknown{_nearest(name, schemas)}")
-        sections[name] = _section(path, name, schemas[name], dict(parser[name]), paths)
+        sections[name] = _section(path, name, schema, dict(parser[name]), paths)
     return sections
 
 
--- a/granitespool/lab/schema.py
+++ b/granitespool/lab/schema.py
@@ -128,11 +128,10 @@
                            f"file it cannot be read: {getattr(error, 'strerror', error)}") from None
     for change in changes:
         text = changed(text, change)
-    classes = [line.strip()[1:-1] for line in text.splitlines() if line.strip().startswith("[class.")]
-    read = ini.parse(path, text, {**SECTIONS, **dict.fromkeys(classes, Class)})
+    read = ini.parse(path, text, {**SECTIONS, "class.*": Class})
     if "experiment" not in read:
         raise BadInput(f"{path}: it lacks the section [experiment]")
-    own = {name.removeprefix("class."): read.pop(name) for name in classes}
+    own = {name.removeprefix("class."): read.pop(name) for name in list(read) if name.startswith("class.")}
     return Setup(**read, classes=own or {"pay": Class()})
 
 
--- /dev/null
+++ b/granitespool/net/managing.py
@@ -0,0 +1,200 @@
+"""The managers' side of a service: the datastores' host, the doors, and what is told to those who subscribed.
+
+Made only where a door is on. Everything that changes settings, the file read anew as well, goes through the
+datastores, and is applied by the service in one turn or not at all."""
+import time
+
+from granitespool.manage import harm, mapping
+from granitespool.manage.datastores import STARTUP, Datastores
+from granitespool.manage.model import Model
+from granitespool.manage.picture import Picture
+from granitespool.manage.refused import Refused
+from granitespool.manage.rights import User, facts_of, user_of
+from granitespool.net.door import Door
+from granitespool.net.loop import SECOND
+from granitespool.net.tls import context
+from granitespool.settings import BadInput
+
+KEEP_MOST = 5 * SECOND     # ns that a commit's answer waits for the state folder: a worse disk has failed
+LOOK = SECOND              # ns between looks at what is notified of: the planner's period
+LOOK_PIECE = 200           # backend and zone pairs looked at in one step
+
+
+class Managing:
+    """`service` has config, coordinator, discovery, keeper, `take(config)` and `waits(config)`."""
+
+    def __init__(self, service, loop, log):
+        self.service, self.loop, self.log = service, loop, log
+        self.model = Model()
+        tree = mapping.tree_of(service.config)
+        try:
+            self.model.check(tree)
+        except Refused as refused:
+            raise BadInput(f"the settings do not fit the managers' model: {refused.why}") from None
+        self.datastores = Datastores(self.model, self, tree)
+        self.base = service.file_tree              # the tree of the files as they were last read
+        self.from_file = None                      # the configuration that a reload brings, meanwhile
+        self.keeping = None                        # (ticket, due, answer) of what is on its way to the disk
+        self.sessions, self.numbers = {}, 0
+        self.cuts, self.strained, self.doors = {}, False, []
+        operator = service.config["operator"]
+        self.users, self.context = self._users(operator), self._context(operator)
+        if operator.netconf:
+            from granitespool.netconf.session import Netconf  # noqa: PLC0415 imported only where it is on
+            self.doors.append(Door(loop, log, "netconf", self.context, operator.netconf, self._user,
+                                   lambda user, session: self._enter(Netconf, user, session)))
+        loop.spawn(self._look())
+
+    @staticmethod
+    def _users(operator):
+        return [User(name, user.certificate, user.read, user.write) for name, user in operator.users.items()]
+
+    @staticmethod
+    def _context(operator):
+        return context(operator.tls.certificate, operator.tls.key, operator.tls.authorities)
+
+    def _user(self, certificate, digest):
+        return user_of(self.users, facts_of(certificate, digest))
+
+    # Sessions
+
+    def _enter(self, protocol, user, session):
+        self.numbers += 1
+        made = protocol(self, user, session, self.numbers)
+        self.sessions[self.numbers] = made
+        return made
+
+    def left(self, session):
+        """A session has ended, however."""
+        self.sessions.pop(session.number, None)
+        self.datastores.closed(session, self._undone)
+
+    def session(self, number):
+        return self.sessions.get(int(number)) if number.isdecimal() else None
+
+    @staticmethod
+    def number_of(session):
+        """A session's number; 0 for the coordinator itself."""
+        return getattr(session, "number", 0)
+
+    def failed(self, error):
+        self.loop.failed(error)
+
+    def _undone(self, error):
+        if error:
+            self.log.event("commit_not_undone", why=error.why)
+
+    # The datastores' host
+
+    def check(self, tree, running):
+        config = self.from_file or mapping.config_of(tree, self.service.config)
+        coordinator = self.service.coordinator
+        waits = () if self.from_file else self.service.waits(config)
+        harm.check(config, self.service.config, coordinator.pictured_fleet()["joined"],
+                   coordinator.joined_zones(), waits)
+
+    def apply(self, tree, by):
+        config = self.from_file or mapping.config_of(tree, self.service.config)
+        try:
+            waits = self.service.take(config)
+        except Exception as error:
+            self.loop.failed(error)
+            raise Refused("operation-failed", "a part could not take its settings, and all have their former "
+                                              "ones again") from None
+        version = self.datastores.version + 1
+        self.log.event("settings_changed", by=by, version=version, waits_for_restart=waits)
+        self.notify("settings-changed", version=version, by=by)
+
+    def keep(self, tree, version, answer):
+        """Has the tree outlast the process where a state folder is on, and answers once it is safe."""
+        if self.service.keeper is None:
+            return answer(None)
+        ticket = self.service.keeper.keep_settings(tree, self.base, version)
+        self.keeping = ticket, self.loop.now + KEEP_MOST, answer
+        return self.loop.wake()
+
+    def keep_startup(self, answer):
+        """The same of startup, as it is now."""
+        stores = self.datastores
+        if self.service.keeper is None:
+            stores.trees[STARTUP] = None
+            return answer(Refused("operation-failed", "without a state folder nothing outlasts a restart, so "
+                                                      "startup cannot differ from running"))
+        return self.keep(stores.tree(STARTUP), stores.version, lambda why: answer(
+            Refused("resource-denied", why) if why else None))
+
+    def end_of_turn(self, now):
+        """What is due: a tree that has become safe, a commit that was not confirmed, words for sessions."""
+        if self.keeping is not None:
+            ticket, due, answer = self.keeping
+            safe = self.service.keeper.safe(ticket)
+            if safe or now >= due:
+                self.keeping = None
+                answer(None if safe else "the state folder's disk does not take it")
+        self.datastores.tick(now, self._undone)
+        for door in self.doors:
+            door.end_of_turn()
+
+    def due(self):
+        dues = [self.datastores.due(), self.keeping and self.keeping[1]]
+        return min((due for due in dues if due is not None), default=None)
+
+    # The files
+
+    def reread(self, config):
+        """The files were read anew, as this configuration; Refused changes nothing. Where they hold what
+        they held before, what managers have changed since stands."""
+        tree = mapping.tree_of(config)
+        made = self._context(config["operator"])
+        if tree == self.base:
+            waits = self.service.take(mapping.config_of(self.datastores.tree("running"), config))
+        else:
+            self.model.check(tree)
+            self.from_file = config
+            try:
+                self.datastores.file(tree)
+            finally:
+                self.from_file = None
+            self.base, waits = tree, self.service.last_waits
+            if self.service.keeper is not None:
+                self.service.keeper.keep_settings(None, None, self.datastores.version)
+        self.context, self.users = made, self._users(config["operator"])
+        for door in self.doors:
+            door.context = made
+        return waits
+
+    # What is told
+
+    def picture(self):
+        service, stores = self.service, self.datastores
+        return Picture(service.coordinator, {
+            "name": service.config["name"], "version": stores.version, "commits": stores.commits,
+            "refused": stores.refused, "index": service.discovery.index, "named": service.discovery.named})
+
+    def notify(self, name, **fields):
+        at = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(self.loop.now // SECOND))
+        for session in list(self.sessions.values()):
+            session.notify(name, fields, at)
+
+    def _look(self):
+        """Looks each second at what subscribers are told of, a few backends a step."""
+        while True:
+            yield None, 0, self.loop.now + LOOK
+            if not any(session.subscribed is not None for session in self.sessions.values()):
+                self.cuts = {}
+                continue
+            coordinator = self.service.coordinator
+            fleet = coordinator.pictured_fleet()
+            if fleet["strained"] != self.strained:
+                self.strained = fleet["strained"]
+                self.notify("strain", strained=self.strained)
+            seen = {}
+            for number, name in enumerate(list(coordinator.listed()), 1):
+                facts = coordinator.pictured(name)
+                for zone, (_, _, cut, _) in (facts[1] if facts else {}).items():
+                    seen[name, zone] = cut
+                    if self.cuts.get((name, zone), False) != cut:
+                        self.notify("backend-cut", backend=name, zone=zone, cut=cut)
+                if number % LOOK_PIECE == 0:
+                    yield None, 0, self.loop.now
+            self.cuts = seen
--- a/granitespool/net/service.py
+++ b/granitespool/net/service.py
@@ -21,7 +21,8 @@
     `reread` returns replaces the configuration that serves, or changes nothing by ending in BadInput."""
 
     def __init__(self, config, log_fd, clock=None, reread=None, mono=time.monotonic_ns):
-        self.reread, self.rereads, self.keeper, self.mono = reread, False, None, mono
+        self.reread, self.rereads, self.mono = reread, False, mono
+        self.keeper = self.managing = None         # the state folder's, the managers', where they are on
         self.loop = Loop(self._failed, clock)
         self.log = Log(log_fd, self.loop.clock, name=config["name"])
         try:
@@ -32,11 +33,15 @@
 
     def _make(self, config):
         self.fixed, self.operator = {name: config[name] for name in FIXED}, config.get("operator")
+        self.file_tree = None
         if self.operator and self.operator.state:
             from granitespool.state.keeper import Keeper  # noqa: PLC0415 imported only where it is on
             self.keeper = Keeper(self.loop, self.log, self.operator.state, config["name"], config["settings"],
                                  self.mono)
             config = {**config, "known": self.keeper.first_list(config["known"])}
+        if self.operator and self.operator.managed:
+            config = self._as_managed(config)
+        self.config = config
         uniform = Random(config["seed"]).uniform
         self.coordinator = Coordinator(config["settings"], config["seed"], self.loop.now)
         self.discovery = Discovery(self.loop, self.coordinator, self.log, config, uniform)
@@ -49,8 +54,27 @@
                                self.discovery.addresses)
         if self.keeper:
             self.keeper.start(self.coordinator, self.discovery)
+        if self.operator and self.operator.managed:
+            from granitespool.net.managing import Managing  # noqa: PLC0415 imported only where it is on
+            self.managing = Managing(self, self.loop, self.log)
         self.log.event("serving", listen="{}:{}".format(*config["listen"]))
 
+    def _as_managed(self, config):
+        """The configuration with what managers had changed in a former life, as long as the files are those
+        that they changed it from."""
+        from granitespool.manage import mapping  # noqa: PLC0415 imported only where it is on
+        self.file_tree = mapping.tree_of(config)
+        managed = self.keeper.managed() if self.keeper else None
+        if managed is None:
+            return config
+        base, tree = managed
+        if base != self.file_tree:
+            self.log.event("settings_dropped",
+                           why="the files have changed since managers changed the settings")
+            return config
+        self.log.event("settings_restored")
+        return mapping.config_of(tree, config)
+
     @staticmethod
     def _has_peers(config):
         return bool(config["settings"].get("peers") and config["peer_listen"])
@@ -63,8 +87,17 @@
         self.rereads = False         # first: a call from here on asks for another reading
         try:
             config = self.reread()
+            waits = self.managing.reread(config) if self.managing else self.take(config)
         except BadInput as error:
             return self.log.event("reload_refused", why=str(error))
+        except Exception as error:
+            if not hasattr(error, "why"):
+                raise
+            return self.log.event("reload_refused", why=error.why)
+        self.log.event("reloaded", discovery="{}:{}".format(*config["discovery"]), waits_for_restart=waits)
+
+    def waits(self, config):
+        """Names of what differs in this configuration and would wait for a restart."""
         waits = [name for name in FIXED if config[name] != self.fixed[name]]
         if (self.peers is not None) != self._has_peers(config):
             waits.append("peers")
@@ -72,13 +105,28 @@
         if self.operator or operator:
             from granitespool.operator import restart_names  # noqa: PLC0415
             waits += restart_names(self.operator, operator)
-            if self.keeper and operator and operator.state:
-                self.keeper.new_options(operator.state)
-        waits += self.coordinator.new_settings(self.loop.now, config["settings"])
+        return waits + self.coordinator.waits(config["settings"])
+
+    def take(self, config):
+        """Each part takes what is its own of a configuration that was checked; returns what waits for a
+        restart. Where one fails, all have the former one again, and its exception is raised."""
+        waits, former = self.waits(config), self.config
+        try:
+            self._give(config)
+        except Exception:
+            self._give(former)
+            raise
+        self.config, self.last_waits = config, waits
+        return waits
+
+    def _give(self, config):
+        operator = config.get("operator")
+        if self.keeper and operator and operator.state:
+            self.keeper.new_options(operator.state)
+        self.coordinator.new_settings(self.loop.now, config["settings"])
         for part in (self.discovery, self.probes, self.streams, *([self.peers] if self.peers else ())):
             part.new_config(config)
         self.pool.most = config["buffers"]
-        self.log.event("reloaded", discovery="{}:{}".format(*config["discovery"]), waits_for_restart=waits)
 
     def _end_of_turn(self, now):
         if self.rereads:
@@ -86,7 +134,14 @@
                 self._new_config()
             except Exception as error:  # a part that cannot take its own must not end the others' service
                 self._failed(error)
+        if self.managing:
+            try:
+                self.managing.end_of_turn(now)
+            except Exception as error:  # a manager's trouble ends no proxy's service
+                self._failed(error)
         due = self.coordinator.tick(now)
+        if self.managing and (other := self.managing.due()) is not None:
+            due = other if due is None else min(due, other)
         for party in self.coordinator.parties():
             try:
                 self._write(party)
--- a/granitespool/operator.py
+++ b/granitespool/operator.py
@@ -10,6 +10,7 @@
 from msgspec import Meta
 
 from granitespool import ini
+from granitespool.settings import BadInput
 
 
 class State(msgspec.Struct, frozen=True, kw_only=True):
@@ -26,27 +27,81 @@
             raise ValueError("every_ms is longer than oldest_s, so nothing written would ever be believed")
 
 
+class Tls(msgspec.Struct, frozen=True, kw_only=True):
+    """[tls]: what the managers' doors show and trust (docs/tls.md); PEM files."""
+
+    certificate: Annotated[str, Meta(min_length=1)]
+    key: Annotated[str, Meta(min_length=1)]
+    authorities: Annotated[str, Meta(min_length=1)]
+
+
+class Netconf(msgspec.Struct, frozen=True, kw_only=True):
+    """[netconf]: NETCONF over TLS (docs/netconf.md)."""
+
+    listen: Annotated[str, Meta(pattern=r"^[^:\s]+:[0-9]{1,5}$")]
+    sessions: Annotated[int, Meta(ge=1, le=256)] = 8
+    idle_s: Annotated[float, Meta(ge=1, le=86_400)] = 600.0
+
+
+class User(msgspec.Struct, frozen=True, kw_only=True):
+    """[user.NAME]: who a manager's certificate stands for, and what that user may do (docs/tls.md)."""
+
+    certificate: Annotated[str, Meta(min_length=1)]
+    read: bool = True
+    write: str = ""
+
+
 class Operator(msgspec.Struct, frozen=True, kw_only=True):
     """The whole file; None for a section that is absent."""
 
     state: State | None = None
+    tls: Tls | None = None
+    netconf: Netconf | None = None
+    users: dict[str, User] = {}
+
+    @property
+    def managed(self):
+        """Whether any door for managers is on."""
+        return self.netconf is not None
 
 
-SECTIONS = {"state": State}
-PATHS = frozenset([("state", "folder")])  # values that are paths: relative ones stand beside the file
+SECTIONS = {"state": State, "tls": Tls, "netconf": Netconf}
+CERTIFICATES = "cn", "dns", "email", "uri", "sha256"  # what of a certificate a user may be known by
+WRITABLE = "*", "class", "zone", "channel", "permissions", "drain", "cold", "operator"  # of the YANG module
+FIXED = ("state", "folder"), ("netconf", "listen")  # keys that wait for a restart
+USERS = "user."  # how the name of a user's section begins
+PATHS = frozenset([("state", "folder"), ("tls", "certificate"), ("tls", "key"),
+                   ("tls", "authorities")])  # values that are paths: relative ones stand beside the file
 
 
 def load(path):
     """The Operator of an INI file, or BadInput with one sentence."""
-    return Operator(**ini.load(path, SECTIONS, PATHS))
+    read = ini.load(path, {**SECTIONS, USERS + "*": User}, PATHS)
+    users = {name.removeprefix(USERS): read.pop(name) for name in list(read) if name.startswith(USERS)}
+    operator = Operator(**read, users=users)
+    if operator.managed and operator.tls is None:
+        raise BadInput(f"{path}: [netconf] needs the section [tls]")
+    if operator.managed and not users:
+        raise BadInput(f"{path}: [netconf] needs a section [user.NAME], or nobody could come in")
+    for name, user in users.items():
+        if user.certificate.partition(":")[0] not in CERTIFICATES or not user.certificate.partition(":")[2]:
+            raise BadInput(f"{path}: [{USERS}{name}] certificate is {user.certificate!r:.60}, where "
+                           f"{', '.join(kind + ':...' for kind in CERTIFICATES)} would do")
+        for word in filter(None, map(str.strip, user.write.split(","))):
+            if word not in WRITABLE:
+                raise BadInput(f"{path}: [{USERS}{name}] write names {word!r:.60}; known are "
+                               f"{', '.join(WRITABLE)}")
+    return operator
 
 
 def restart_names(before, now):
     """The names, as section.key, of what differs and cannot change while the service runs."""
-    old, new = (each.state if each else None for each in (before, now))
-    if (old is None) != (new is None) or old and old.folder != new.folder:
-        return ["state.folder"]
-    return []
+    waits = []
+    for section, key in FIXED:
+        old, new = (getattr(each, section, None) for each in (before, now))
+        if getattr(old, key, None) != getattr(new, key, None):
+            waits.append(f"{section}.{key}")
+    return waits
 
 
 def summary(operator):
--- a/granitespool/state/keeper.py
+++ b/granitespool/state/keeper.py
@@ -26,7 +26,7 @@
         self.identity = trust.Identity(name, [kind.get("name") for kind in settings.get("classes") or ()],
                                        list(settings.get("zones") or ()))
         self.memory = Memory(options, self.identity)
-        self.coordinator = self.discovery = self.task = None
+        self.coordinator = self.discovery = self.task = self._managed = None
         self.writer = Writer(folder or Folder(options.folder), options.most_mb, self._header, loop.wake,
                              self._clocks)
         opened = self.writer.wait_opened(OPEN_MOST)
@@ -36,11 +36,28 @@
             log.event("state_torn", why=problem)
         if opened:
             carried = self.memory.opened(opened.found, opened.kept, opened.why, self._clocks())
+            kept = opened.kept and opened.kept.managed
+            if kept is not None and opened.found.header.name == name:
+                self._managed = kept.base, kept.tree
+                carried[record.MANAGED] = record.value_bytes(kept)
             if carried:
                 self.writer.submit(carried)
         else:
             self.memory.why = "the folder could not be read in time"
 
+    def managed(self):
+        """(tree of the files, tree of the settings) as managers left them in a former life, or None. Unlike
+        what was learnt they do not age, but they are this coordinator's alone."""
+        return self._managed
+
+    def keep_settings(self, tree, base, version):
+        """Has settings outlast the process (None: those of the files hold); returns a ticket for `safe`."""
+        return self.writer.submit({record.MANAGED: None if tree is None else record.value_bytes(
+            record.Managed(self.loop.now, version, base, tree))})
+
+    def safe(self, ticket):
+        return self.writer.safe >= ticket
+
     def _header(self, start):
         return record.Header(record.FORMAT, *self.identity, *self._clocks(), start, __version__)
 
--- a/granitespool/state/record.py
+++ b/granitespool/state/record.py
@@ -7,6 +7,7 @@
 
 FORMAT = 2             # the version that is written
 FLEET = b"f"           # key of the fleet's facts
+MANAGED = b"m"         # key of the settings that managers have changed
 BACKEND = b"b"         # first byte of a backend's key, its name follows
 LINK = b"l"            # first byte of a link's key, (backend, zone) as msgpack follows
 
@@ -74,11 +75,21 @@
     index: int               # version of discovery's list
 
 
+class Managed(msgspec.Struct, array_like=True, frozen=True):
+    """Settings that managers have changed: trees of the YANG module, of the files and of what runs."""
+
+    at: int
+    version: int
+    base: dict
+    tree: dict
+
+
 class Kept(msgspec.Struct):
     """A record as the newest version has it."""
 
     fleet: Fleet | None
     backends: dict[str, tuple[Backend, dict[str, Link]]]  # by name; links by zone
+    managed: Managed | None = None
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -86,6 +97,7 @@
 _backend = msgspec.msgpack.Decoder(Backend)
 _backend1 = msgspec.msgpack.Decoder(Backend1)
 _link = msgspec.msgpack.Decoder(Link)
+_managed = msgspec.msgpack.Decoder(Managed)
 _link_key = msgspec.msgpack.Decoder(tuple[str, str])
 _fleet = msgspec.msgpack.Decoder(Fleet)
 _batch = msgspec.msgpack.Decoder(tuple[int, int, dict[bytes, bytes | None]])
@@ -165,11 +177,13 @@
 
 def kept(version, held):
     """The Kept of {key: bytes} as any known format wrote it, or Spoilt."""
-    fleet, backends, links = None, {}, {}
+    fleet, managed, backends, links = None, None, {}, {}
     for key, data in held.items():
         try:
             if key == FLEET:
                 fleet = _decoded(_fleet, data)
+            elif key == MANAGED and version > 1:
+                managed = _decoded(_managed, data)
             elif key[:1] == BACKEND:
                 backends[key[1:].decode()] = _decoded(_backend if version > 1 else _backend1, data)
             elif key[:1] == LINK and version > 1:
@@ -181,7 +195,8 @@
             raise Spoilt("a backend's name is not UTF-8") from None
     if version == 1:
         backends, links = from_1(backends)
-    return Kept(fleet, {name: (each, links.get(name, {})) for name, each in backends.items()})
+    return Kept(fleet, {name: (each, links.get(name, {})) for name, each in backends.items()},
+                managed)
 
 
 def from_1(backends):
--- a/granitespool/state/writer.py
+++ b/granitespool/state/writer.py
@@ -51,6 +51,8 @@
         self.changed = threading.Condition()     # guards all below up to the thread
         self.pending, self.closing, self.told = {}, False, deque(maxlen=TOLD_MOST)
         self.synced, self.written, self.writes = 0, 0, 0  # wall ns of the newest batch; bytes; batches
+        self.awaited = False                     # whether the loop is to look as soon as it is safe
+        self.tickets = self.safe = 0             # of what was submitted; the last that is on the disk
         self.opened, self.ready = None, threading.Event()
         self.thread = threading.Thread(target=self._run, name="granitespool-state", daemon=True)
         self.thread.start()
@@ -64,10 +66,14 @@
         return opened if in_time else None
 
     def submit(self, changes):
-        """{key: bytes, or None where it goes}; a newer value takes the place of one that still waits."""
+        """{key: bytes, or None where it goes}; a newer value takes the place of one that still waits.
+        Returns a ticket: the changes are on the disk once `safe` has reached it."""
         with self.changed:
             self.pending.update(changes)
+            self.tickets += 1
+            self.awaited = self.awaited or record.MANAGED in changes
             self.changed.notify()
+            return self.tickets
 
     def limit(self, most_mb):
         self.most = most_mb * MB
@@ -159,6 +165,7 @@
             with self.changed:
                 self.changed.wait_for(lambda: self.pending or self.closing or again)  # noqa: B023
                 changes, self.pending, closing = self.pending, {}, self.closing
+                ticket = self.tickets
             wall, mono = self.clocks()
             try:
                 store.most = self.most
@@ -180,6 +187,11 @@
                 self._tell("state_back")
             failed, again, pause = False, False, PAUSE_FIRST
             self.synced, self.written, self.writes = wall, store.written, self.writes + 1
+            with self.changed:
+                self.safe = ticket
+                if self.awaited and not self.closing:
+                    self.wake()                  # a manager waits for it
+                self.awaited = False
             if closing:
                 return
 
--- /dev/null
+++ b/tests/test_manage.py
@@ -0,0 +1,415 @@
+"""The model, edits, datastores, mapping, harm and rights: plain trees in, verdicts out; a state machine at the end."""
+import copy
+
+import pytest
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from granitespool.manage import harm, mapping, rights
+from granitespool.manage.datastores import CANDIDATE, RUNNING, STARTUP, Datastores
+from granitespool.manage.edits import Change, edited, with_defaults
+from granitespool.manage.model import Model
+from granitespool.manage.picture import Picture
+from granitespool.manage.refused import Refused
+from granitespool.net import config
+from granitespool.operator import Operator, State
+
+MODEL = Model()
+NODE = MODEL.settings
+TREE = {"class": [{"name": "pay", "promised-time": "100", "time-limit": "400"}, {"name": "ask"}],
+        "zone": ["n", "s"],
+        "channel": {"lines-per-second": "100.0"}}
+
+
+def C(name, *children, op=None, value=None, place=None):  # noqa: N802 as short as a scenario's word
+    return Change(name, op, value, tuple(children), place)
+
+
+def leaf(name, value=None, op=None):
+    return Change(name, op, value)
+
+
+def pay(*children, op=None, name="pay", place=None):
+    return C("class", leaf("name", name), *children, op=op, place=place)
+
+
+def refused(call, *words):
+    with pytest.raises(Refused) as raised:
+        call(*words)
+    return raised.value.tag, raised.value.why
+
+
+@pytest.mark.parametrize("change, expected", [
+    (pay(leaf("benefit", "9.0")), ("class", 0, "benefit", "9.0")),
+    (pay(leaf("benefit", "9.0"), op="replace"), ("class", 0, "promised-time", None)),
+    (pay(op="delete"), ("class", 0, "name", "ask")), (pay(op="remove", name="no"),
+                                                      ("class", 0, "name", "pay")),
+    (pay(name="new"), ("class", 2, "name", "new")),
+    (pay(name="new", place=("first", None)), ("class", 0, "name", "new")),
+    (pay(name="new", place=("before", {"name": "ask"})), ("class", 1, "name", "new")),
+    (pay(place=("after", {"name": "ask"})), ("class", 1, "name", "pay")),
+    (leaf("zone", "x"), ("zone", 2, None, "x")), (leaf("zone", "n", "delete"), ("zone", 0, None, "s")),
+    (C("channel", leaf("message-head", "3.0"), op="replace"), ("channel", None, "lines-per-second", None)),
+    (C("channel", leaf("lines-per-second", None, "remove")), ("channel", None, None, None)),
+    (C("channel", op="delete"), ("channel", None, None, None)),
+    (C("operator", C("state", leaf("folder", "x"))), ("operator", None, "state", {"folder": "x"}))])
+def test_an_edit_changes_what_it_names_and_leaves_the_former_tree_alone(change, expected):
+    before = copy.deepcopy(TREE)
+    value = edited(NODE, TREE, [change])
+    assert before == TREE
+    for step in expected[:-1]:
+        if step is not None:
+            value = value.get(step) if isinstance(value, dict) else value[step]
+    assert value == expected[-1]
+
+
+@pytest.mark.parametrize("change, default, tag", [
+    (pay(op="create"), "merge", "data-exists"), (pay(op="delete", name="no"), "merge", "data-missing"),
+    (leaf("zone", "n", "create"), "merge", "data-exists"), (leaf("zone", "x", "delete"), "merge",
+                                                            "data-missing"),
+    (C("channel", leaf("message-head", None, "delete")), "merge", "data-missing"),
+    (C("drain", op="delete"), "merge", "data-missing"), (C("class", leaf("benefit", "1.0")), "merge",
+                                                         "missing-element"),
+    (leaf("nothing", "1"), "merge", "unknown-element"), (pay(op="twist"), "merge", "bad-attribute"),
+    (pay(place=("before", {"name": "no"})), "merge", "bad-attribute"), (pay(name="no"), "none",
+                                                                        "data-missing"),
+    (C("channel", leaf("message-head")), "merge", "missing-element")])
+def test_an_edit_that_cannot_be_is_refused_by_the_rfcs_tag(change, default, tag):
+    assert refused(edited, NODE, TREE, [change], default)[0] == tag
+
+
+@pytest.mark.parametrize("part, words", [
+    ({"zone": []}, "at least one zone"), ({"zone": None}, "at least one zone"),
+    ({"channel": {"lines-per-second": "0.0"}}, "lines-per-second"), ({"channel": {"backlog-limit": "5.0"}},
+                                                                     "needs"),
+    ({"channel": {"lines-per-second": 5}}, "decimal64"), ({"cold": {"share": "0.5"}}, "share needs time"),
+    ({"class": [{"name": "a", "promised-time": "5", "time-limit": "4"}]}, "longer than time-limit"),
+    ({"class": [{"name": "a"}, {"name": "a"}]}, "class"), ({"class": [{"benefit": "1.0"}]}, "class"),
+    ({"class": [{"name": "a b"}]}, "name"), ({"operator": {"state": {}}}, "folder"), ({"nope": {}},
+                                                                                      "no such node"),
+    ({"operator": {"state": {"folder": "x", "every-ms": 5000, "oldest-s": "2.0"}}}, "longer than oldest-s")])
+def test_a_tree_that_the_module_does_not_allow_is_refused_in_one_sentence(part, words):
+    tree = {**TREE, **part}
+    tag, why = refused(MODEL.check, {key: value for key, value in tree.items() if value is not None})
+    assert words in why and "\n" not in why and tag
+
+
+def test_defaults_are_those_of_what_is_there():
+    tree = with_defaults(NODE, {"zone": ["n"], "operator": {"state": {"folder": "x"}}})
+    assert tree["operator"]["state"]["every-ms"] == 1000 and "channel" not in tree
+    assert with_defaults(NODE, TREE) == TREE
+
+
+def told(**settings):
+    return {"settings": {"zones": ["n", "s"], "classes": [{"name": "pay", "promised_time": 100_000,
+                                                           "odd": 1}],
+                         "lines_per_s": 100.123456789, "message_head": 3, "drain_grace": 3 * 10**9, "index": 4,
+                         **settings}, "operator": Operator(state=State(folder="x", half_life_s=12.5))}
+
+
+def test_a_configuration_and_its_tree_map_to_each_other_and_what_is_not_changed_keeps_its_value():
+    for each in (told(), config.load("examples/config.json"), {"settings": {"zones": ["n"], "classes": []}}):
+        tree = mapping.tree_of(each)
+        MODEL.check(tree)
+        assert mapping.config_of(tree, each) == each
+    tree = edited(NODE, mapping.tree_of(told()), [
+        C("drain", leaf("grace", "5000000")), pay(leaf("benefit", "2.0")),
+        C("operator", C("state", leaf("every-ms", 250)))])
+    new = mapping.config_of(tree, told())
+    assert new["settings"]["drain_grace"] == 5 * 10**9 and new["settings"]["lines_per_s"] == 100.123456789
+    assert new["settings"]["classes"] == [{"name": "pay", "promised_time": 100_000, "odd": 1, "benefit": 2}]
+    assert new["operator"].state == State(folder="x", half_life_s=12.5, every_ms=250)
+    gone = mapping.config_of(edited(NODE, tree, [C("drain", op="delete"), C("operator", op="delete")]), new)
+    assert "drain_grace" not in gone["settings"] and gone["operator"].state is None
+
+
+@pytest.mark.parametrize("change, proxies, waits, words", [
+    ({"classes": []}, 0, (), "without a class"), ({"zones": ["n"]}, 0, (), "zone s have joined"),
+    ({"lines_per_s": 1}, 10, (), "one drain takes 50.0 s for 10 proxies"),
+    ({"backlog_limit": 30}, 10, (), "more than the backlog"), ({}, 0, ("classes",), "put it into startup"),
+    ({"lines_per_s": 1}, 0, (), None), ({"backlog_limit": 60}, 10, (), None)])
+def test_a_change_that_would_do_harm_is_refused(change, proxies, waits, words):
+    new = told(**change)
+    if words is None:
+        return harm.check(new, told(), proxies, {"n"}, waits)
+    assert words in refused(harm.check, new, told(), proxies, {"n", "s"}, waits)[1]
+    return None
+
+
+CERTIFICATE = {"subject": ((("commonName", "ops"),),), "subjectAltName": (("DNS", "a.example"), ("email",
+                                                                                                 "a@b"),
+                                                                          ("URI", "urn:x"), ("IP Address",
+                                                                                             "::1"))}
+
+
+@pytest.mark.parametrize("certificate, found", [
+    ("cn:ops", True), ("cn:OPS", False), ("dns:a.example", True), ("dns:ops", False), ("email:a@b", True),
+    ("uri:urn:x", True), ("sha256:AB:CD", True), ("sha256:abce", False), ("dns:::1", False)])
+def test_a_user_is_known_by_one_thing_of_its_certificate(certificate, found):
+    user = rights.User("u", certificate, True, "class, zone")
+    assert (rights.user_of([user], rights.facts_of(CERTIFICATE, "abcd")) is user) == found
+    rights.must_write(user, ["class"])
+    assert refused(rights.must_write, user, ["class", "cold"]) == ("access-denied", "u may not write cold")
+    assert refused(rights.must_read, rights.User("u", certificate, False, ""))[0] == "access-denied"
+    rights.must_write(rights.User("u", certificate, False, "*"), ["cold"])
+
+
+class Host:
+    """What the datastores act on: keeps and applies at once, later, or not at all, as it is told."""
+
+    def __init__(self):
+        self.applied, self.harm, self.fault, self.later, self.asked = [], None, None, False, []
+
+    def check(self, tree, running):
+        if self.harm:
+            raise Refused("operation-failed", self.harm)
+
+    def keep(self, tree, version, answer):
+        self.asked.append(answer)
+        if not self.later:
+            self.kept(None)
+
+    def kept(self, why):
+        self.asked.pop(0)(why)
+
+    def apply(self, tree, by):
+        if self.fault:
+            raise Refused("operation-failed", self.fault)
+        self.applied.append(tree)
+
+
+class Stores:
+    """Datastores, their host, and short words for what sessions ask."""
+
+    def __init__(self):
+        self.host = Host()
+        self.stores, self.now = Datastores(MODEL, self.host, copy.deepcopy(TREE)), 0
+
+    def edit(self, who, pace, store=CANDIDATE):
+        self.stores.edit(who, store, [C("channel", leaf("lines-per-second", pace))])
+
+    def commit(self, who, **more):
+        answers = []
+        self.stores.commit(who, who, self.now, answers.append, **more)
+        return answers[0].tag if answers and answers[0] else "ok" if answers else "waits"
+
+    def pace(self, store=RUNNING):
+        return self.stores.tree(store)["channel"]["lines-per-second"]
+
+
+def test_a_commit_is_checked_kept_and_applied_in_this_order():
+    s = Stores()
+    s.edit("a", "5.0")
+    s.host.later = True
+    assert s.commit("a") == "waits" and not s.host.applied and s.pace() == "100.0"
+    assert s.commit("b") == "in-use"
+    s.host.kept(None)
+    assert s.pace() == "5.0" and s.host.applied[0]["channel"] == {"lines-per-second": "5.0"} and s.stores.version == 2
+
+
+@pytest.mark.parametrize("trouble", ["harm", "fault", "disk"])
+def test_a_commit_that_is_refused_leaves_everything_as_it_was(trouble):
+    s = Stores()
+    s.edit("a", "5.0")
+    if trouble == "disk":
+        s.host.later = True
+        s.commit("a")
+        s.host.kept("full")
+    else:
+        setattr(s.host, trouble, "no")
+        assert s.commit("a") == "operation-failed"
+    assert s.pace() == "100.0" and s.stores.version == 1 and not s.host.applied and s.pace(CANDIDATE) == "5.0"
+    assert s.stores.busy is None and s.stores.refused == 1
+
+
+def test_a_commit_begun_from_a_version_that_has_passed_is_refused():
+    s = Stores()
+    s.edit("a", "5.0")
+    s.stores.file({**TREE, "channel": {"lines-per-second": "7.0"}})
+    assert s.commit("a") == "operation-failed" and s.pace() == "7.0"
+    s.stores.discard("a")
+    s.edit("a", "6.0")
+    assert s.commit("a") == "ok" and s.pace() == "6.0"
+
+
+def test_locks_hold_off_others_and_end_with_their_session():
+    s = Stores()
+    s.stores.lock("a", CANDIDATE)
+    s.stores.lock("a", RUNNING)
+    assert refused(s.stores.lock, "b", CANDIDATE)[0] == "lock-denied"
+    assert refused(s.edit, "b", "5.0")[0] == "in-use" and s.commit("b") == "in-use"
+    assert refused(s.stores.unlock, "b", CANDIDATE)[0] == "operation-failed"
+    assert refused(s.stores.file, TREE)[0] == "in-use"
+    s.edit("a", "5.0")
+    s.stores.closed("a", None)
+    assert not s.stores.locks and s.pace(CANDIDATE) == "100.0"
+    s.edit("b", "5.0")
+    assert refused(s.stores.lock, "a", CANDIDATE)[0] == "lock-denied"
+    assert s.commit("b") == "ok"
+    s.stores.lock("a", CANDIDATE)
+
+
+@pytest.mark.parametrize("end, pace", [("confirm", "5.0"), ("time", "100.0"), ("closed", "100.0"),
+                                       ("cancel", "100.0"),
+                                       ("persist", "5.0"), ("persist closed", "5.0"), ("again", "6.0"),
+                                       ("again time", "100.0"), ("closed while busy", "100.0")])
+def test_a_confirmed_commit_stands_or_is_undone(end, pace):
+    s = Stores()
+    s.edit("a", "5.0")
+    persist = "p" if "persist" in end else None
+    assert s.commit("a", timeout=10, persist=persist) == "ok" and s.pace() == "5.0"
+    assert s.commit("b") == "in-use" and refused(s.stores.file, TREE)[0] == "in-use"
+    s.now = 5 * 10**9
+    if end == "confirm":
+        assert s.commit("a") == "ok"
+    elif end.startswith("again"):
+        s.edit("a", "6.0")
+        assert s.commit("a", timeout=10) == "ok" and s.pace() == "6.0"
+        s.now = 14 * 10**9
+        s.stores.tick(s.now, None)
+        assert s.pace() == "6.0"
+        if end == "again":
+            assert s.commit("a") == "ok"
+    elif end == "persist":
+        assert s.commit("b", persist_id="q") == "invalid-value"
+        assert s.commit("b", persist_id="p") == "ok"
+    elif end == "persist closed":
+        s.stores.closed("a", None)
+        assert s.commit("b", persist_id="p") == "ok"
+    elif end == "closed":
+        s.stores.closed("a", lambda error: None)
+    elif end == "closed while busy":
+        s.host.later = True
+        assert s.commit("a") == "waits"
+        s.stores.closed("a", lambda error: None)
+        s.host.kept("full")
+    elif end == "cancel":
+        answers = []
+        s.stores.cancel("a", "a", None, answers.append)
+        assert answers == [None]
+    s.now = 30 * 10**9
+    s.stores.tick(s.now, lambda error: None)
+    assert s.pace() == pace and s.stores.confirm is None
+    s.edit("c", "8.0")
+    assert s.commit("c") in ("ok", "waits")
+
+
+def test_startup_is_what_a_restart_begins_with_until_the_next_commit():
+    s = Stores()
+    s.edit("a", "5.0", STARTUP)
+    assert s.pace(STARTUP) == "5.0" and s.pace() == "100.0"
+    s.stores.delete("a", STARTUP)
+    assert s.pace(STARTUP) == "100.0" and refused(s.stores.delete, "a",
+                                                  CANDIDATE)[0] == "operation-not-supported"
+    assert refused(s.edit, "a", "5.0", RUNNING)[0] == "operation-not-supported"
+    s.stores.copy("a", CANDIDATE, {**TREE, "zone": ["n"]})
+    assert s.commit("a") == "ok" and s.stores.tree(RUNNING)["zone"] == ["n"]
+
+
+def test_a_picture_is_what_the_module_allows():
+    class Some:
+        def pictured_fleet(self):
+            return {"joined": 2, "unbound": 1, "waiting": -3, "lag": 5000, "strained": True, "room": 0.5,
+                    "through": 1.2, "tables": [("n", 2, {"pay": (0.5, 1)}), ("s", 0, {})]}
+
+        def listed(self):
+            return {"a": None, "b": None, "gone": None}
+
+        def pictured(self, name):
+            facts = {"phase": "ready", "zone": "n", "kind": None, "proven": name == "a"}
+            return None if name == "gone" else (facts, {"n": (0.0, 1e20, name == "a", False), "s": (2.0,
+                                                                                                    None, False, 0)})
+    picture = Picture(Some(), {"name": "c", "version": 1, "commits": 0, "refused": 0, "index": 3,
+                               "named": True})
+    assert len(list(picture.steps())) >= 1
+    outs = [view.get("out") for each in picture.tree["backend"] for view in each["seen-from"]]
+    assert outs == ["cut", None, "unproven", None]
+    instance = MODEL.data.from_raw({"granitespool:coordinator": {"state": picture.tree}})
+    from yangson.enumerations import ContentType  # noqa: PLC0415
+    instance.validate(ctype=ContentType.all)
+
+
+PACES = st.sampled_from(["1.0", "2.0", "3.0", "0.0"])
+WHO = st.sampled_from(["a", "b", "c"])
+
+
+class Several(RuleBasedStateMachine):
+    """Sessions that edit, lock, commit and drop at random, files that are read anew, against plain facts."""
+
+    @initialize()
+    def begin(self):
+        self.s, self.version, self.open = Stores(), 1, {"a", "b", "c"}
+
+    def _try(self, call, *words):
+        try:
+            call(*words)
+        except Refused as error:
+            assert error.why and "\n" not in error.why
+
+    @rule(who=WHO, pace=PACES, test=st.sampled_from(["set", "test-then-set", "test-only"]))
+    def edit(self, who, pace, test):
+        self._try(self.s.stores.edit, who, CANDIDATE, [C("channel", leaf("lines-per-second", pace))],
+                  "merge", test)
+
+    @rule(who=WHO, store=st.sampled_from([RUNNING, CANDIDATE, STARTUP]),
+          verb=st.sampled_from(["lock", "unlock"]))
+    def lock(self, who, store, verb):
+        self._try(getattr(self.s.stores, verb), who, store)
+
+    @rule(who=WHO, timeout=st.none() | st.integers(1, 5), persist=st.none() | st.just("p"))
+    def commit(self, who, timeout, persist):
+        before = copy.deepcopy(self.s.stores.trees[RUNNING])
+        result = self.s.commit(who, timeout=timeout, persist=persist if timeout else None)
+        if result not in ("ok", "waits"):
+            assert self.s.stores.trees[RUNNING] == before
+
+    @rule(who=WHO)
+    def confirm(self, who):
+        self.s.commit(who, persist_id="p")
+
+    @rule(who=WHO)
+    def drop(self, who):
+        self.s.stores.closed(who, lambda error: None)
+        assert who not in self.s.stores.locks.values() and self.s.stores.edited_by != who
+
+    @rule(who=WHO)
+    def discard(self, who):
+        self._try(self.s.stores.discard, who)
+
+    @rule(pace=st.sampled_from(["4.0", "5.0"]))
+    def file(self, pace):
+        self._try(self.s.stores.file, {**TREE, "channel": {"lines-per-second": pace}})
+
+    @rule(seconds=st.integers(1, 4))
+    def time(self, seconds):
+        self.s.now += seconds * 10**9
+        self.s.stores.tick(self.s.now, lambda error: None)
+
+    @rule(what=st.sampled_from([("harm", "no"), ("fault", "no"), ("later", True)]))
+    def trouble(self, what):
+        setattr(self.s.host, *what)
+
+    @rule(why=st.none() | st.just("full"))
+    def mend(self, why):
+        self.s.host.harm = self.s.host.fault = None
+        self.s.host.later = False
+        while self.s.host.asked:
+            self.s.host.kept(why)
+
+    @invariant()
+    def running_is_valid_is_what_was_applied_and_versions_only_grow(self):
+        if not hasattr(self, "s"):
+            return
+        stores = self.s.stores
+        MODEL.check(stores.trees[RUNNING])
+        applied = self.s.host.applied
+        assert stores.trees[RUNNING] == (applied[-1] if applied else TREE)
+        assert stores.version >= self.version and stores.version - 1 == len(applied) == stores.commits
+        self.version = stores.version
+        assert (stores.busy is not None) == bool(self.s.host.asked)
+
+
+Several.TestCase.settings = hypothesis_settings(max_examples=60, stateful_step_count=40, deadline=None,
+                                                derandomize=True)
+TestSeveral = Several.TestCase
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -14,7 +14,7 @@
 
 @pytest.mark.parametrize("text, words", [
     ("[stat]\n", "the section [stat] is unknown; the nearest known name is state"),
-    ("[zzz]\n", "the section [zzz] is unknown; known are state"),
+    ("[zzz]\n", "the section [zzz] is unknown; known are state, tls, netconf"),
     ("[DEFAULT]\nfolder = x\n", "[DEFAULT] is unknown"),
     ("[state]\n", "[state] lacks folder"), ("[state]\nfolder =\n", "[state] folder is ''"),
     (STATE + "every = 5\n", "[state] every is unknown; the nearest known name is every_ms"),
@@ -70,8 +70,8 @@
     path = tmp_path / "on.ini"
     path.write_text(on)
     read = operator.load(str(path))
-    for name, struct in operator.SECTIONS.items():
-        assert getattr(read, name) is not None, name
+    for name, struct in [*operator.SECTIONS.items(), ("users", operator.User)]:
+        assert getattr(read, name), name
         for field in struct.__struct_fields__:
             assert any(line.startswith(f"#{field} =") for line in lines), field
 
