NETCONF's tests on loopback; no session's timer is due in its own turn

Cause: tests with real clients found a session whose next step was due at the turn's own time, which the loop resumed for ever in one turn; and ncclient waiting on the socket for the rest of a TLS record that its library held.

Change: a step is due one ns after the turn, silence is no timer for subscribers, records are written at 4 KiB, the system's send buffer of a manager is bounded.

--- a/granitespool/cli/keys.py
+++ b/granitespool/cli/keys.py
@@ -45,9 +45,9 @@
     return 0
 
 
-def _certificate(name, key, days, authority, authority_key, usage, alternatives):
+def _certificate(name, key, days, authority, authority_key, usage, alternatives, begins=None):
     subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
-    now = datetime.datetime.now(datetime.timezone.utc)
+    now = begins or datetime.datetime.now(datetime.timezone.utc)
     builder = (x509.CertificateBuilder().subject_name(subject).public_key(key.public_key())
                .issuer_name(authority.subject if authority else subject)
                .serial_number(x509.random_serial_number())
--- a/granitespool/net/door.py
+++ b/granitespool/net/door.py
@@ -95,6 +95,7 @@
                     continue
                 sock.setblocking(False)
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, UNSENT_HIGH)  # the system's share is bounded too
                 session = Session(self, sock, f"{peer[0]}:{peer[1]}")
                 self.sessions[session] = None
                 session.task = self.loop.spawn(self._serve(session))
@@ -139,9 +140,10 @@
         if session.protocol is None:
             return session.since + HANDSHAKE
         if self._busy(session):
-            return self.loop.now         # a step in each turn
-        dues = [session.heard + self.idle, session.protocol.due()]
-        return min(due for due in dues if due is not None)
+            return self.loop.now + 1     # a step in each turn; one that is due now would be resumed in this one
+        idle = None if session.protocol.keeps else session.heard + self.idle
+        dues = [due for due in (idle, session.protocol.due()) if due is not None]
+        return max(min(dues), self.loop.now + 1) if dues else None
 
     def _busy(self, session):
         return session.unsent < UNSENT_HIGH and session.protocol.busy
--- a/granitespool/net/tls.py
+++ b/granitespool/net/tls.py
@@ -9,6 +9,9 @@
 from granitespool.settings import BadInput
 
 TAKEN = 64 * 1024    # plain bytes taken out in one read
+# Bytes of a record that is written. Against clients that wait on the socket after one read of 4 KiB while the rest
+# of a larger record stands in their TLS library (ncclient does). Harm: 22 bytes more for each 4 KiB.
+RECORD = 4096
 
 
 def context(certificate, key, authorities):
@@ -69,7 +72,7 @@
         """Plain bytes for the other side; they are among `outgoing` then."""
         view = memoryview(plain)
         while view:
-            view = view[self.tls.write(view):]
+            view = view[self.tls.write(view[:RECORD]):]
 
     def outgoing(self):
         """Bytes that are to go to the network."""
