--- a/granitespool/net/loop.py
+++ b/granitespool/net/loop.py
@@ -48,7 +48,8 @@
 
     def wake(self):
         """Ends the wait for events, so that a turn follows; may be called from a signal handler."""
-        os.eventfd_write(self.bell, 1)
+        if self.bell is not None:    # closed: the number may be another's descriptor by now
+            os.eventfd_write(self.bell, 1)
 
     def stop(self):
         """Ends `run`; may be called from a signal handler."""
@@ -133,4 +134,6 @@
         for task in list(self.all):
             self.end(task)
         self.epoll.close()
-        os.close(self.bell)
+        bell, self.bell = self.bell, None
+        if bell is not None:
+            os.close(bell)
--- a/granitespool/net/managing.py
+++ b/granitespool/net/managing.py
@@ -29,7 +29,7 @@
     """One picture for all who ask within a short time; whoever works at it works for all.
 
     `flat` holds what doors made of the newest one, `leaves` (by the text of their path) what they know of a
-    leaf for as long as any of them holds it: a hundred subscribers of the same paths cost one flattening, and a
+    leaf for as long as any holds it: a hundred subscribers of the same paths cost one flattening, and a
     value is encoded once. Few objects of their own matter as much: the collector walks them all."""
 
     def __init__(self, managing):
