An edit of startup is kept for the restart it is for

Cause: only copies and deletions of startup reached the state folder.

Change and test: edit-config of startup is answered after its sync; without a state folder it is refused.

--- a/granitespool/netconf/session.py
+++ b/granitespool/netconf/session.py
@@ -317,6 +317,7 @@
         else:
             must_write(self.user, sorted({change.name for change in changes}))
             stores.edit(self, store, changes, operation or default, test)
+        return self._wait(self.managing.keep_startup) if store == STARTUP and test != "test-only" else None
 
     def copy_config(self, element, reply):
         target = self._store(element, "target")
--- a/tests/test_netconf.py
+++ b/tests/test_netconf.py
@@ -373,6 +373,25 @@
         house.logged("settings_dropped")
 
 
+def test_what_waits_for_a_restart_is_put_into_startup_and_acts_after_it(tmp_path, folder):
+    with House(tmp_path, folder, state=True) as house:
+        one = house.manager()
+        assert tag_of(one.edit("<class><name>late</name></class>")) == "ok"
+        assert "put it into startup" in one.commit() and tag_of(one.ask("<discard-changes/>")) == "ok"
+        assert tag_of(one.edit("<class><name>late</name></class>", "startup")) == "ok"
+        assert "late" not in one.config() and len(house.settings()["classes"]) == 1
+    with House(tmp_path, folder, state=True) as house:
+        assert [kind["name"] for kind in house.settings()["classes"]] == ["pay", "late"]
+        assert "late" in house.manager().config()
+
+
+def test_without_a_state_folder_startup_cannot_differ(house):
+    one = house.manager()
+    answer = one.edit("<class><name>late</name></class>", "startup")
+    assert tag_of(answer) == "operation-failed" and "without a state folder" in answer
+    assert "late" not in one.config("startup")
+
+
 def test_a_disk_that_does_not_take_it_refuses_the_commit(tmp_path, folder, monkeypatch):
     monkeypatch.setattr("granitespool.net.managing.KEEP_MOST", 300_000_000)
     with House(tmp_path, folder, state=True) as house:
