What was refused after it was kept does not come back with a restart

Cause: read again: a commit whose parts failed, or whose disk was too slow, could stand in the state folder all the same; and a second session that waited for the disk took the first one's place, which was never answered.

Change and test: the former tree is kept again (unkeep), waiting answers are a list.

--- a/granitespool/manage/datastores.py
+++ b/granitespool/manage/datastores.py
@@ -8,8 +8,9 @@
 The host is a small interface: `check(tree)` refuses what the service could not run on or what would do harm,
 `keep(tree, version, answer)` makes it outlast the process and then calls answer(None or why not),
 `apply(tree, by)` has the service run on it within the call or leaves everything as it was and raises
-Refused, `refused(by, why)` hears of each change that was refused. Times are whole nanoseconds. A session is
-any value that stands for itself; `by` is the name of its user, for the log."""
+Refused, `unkeep(tree, version)` has this one outlast the process instead of what was kept last, `refused(by,
+why)` hears of each change that was refused. Times are whole nanoseconds. A session is any value that stands
+for itself; `by` is the name of its user, for the log."""
 import copy
 from typing import NamedTuple
 
@@ -207,6 +208,8 @@
                                   f"the settings could not be made to outlast a restart: {why}")
                 self.host.apply(tree, by)
             except Refused as error:
+                if keep:     # it may be on the disk, or come there yet: no restart may begin with it
+                    self.host.unkeep(self.tree(STARTUP), self.version)
                 return answer(self._refuse(by, error))
             self.trees[RUNNING], self.version, self.commits = tree, self.version + 1, self.commits + 1
             if keep:
--- a/granitespool/net/managing.py
+++ b/granitespool/net/managing.py
@@ -65,7 +65,7 @@
         self.datastores = Datastores(self.model, self, tree)
         self.base = service.file_tree              # the tree of the files as they were last read
         self.from_file = None                      # the configuration that a reload brings, meanwhile
-        self.keeping = None                        # (ticket, due, answer) of what is on its way to the disk
+        self.keeping = []                          # (ticket, due, answer) of what is on its way to the disk
         self.sessions, self.numbers = {}, 0
         self.cuts, self.levels, self.strained, self.doors = {}, {}, False, []
         operator = service.config["operator"]
@@ -166,9 +166,14 @@
         if self.service.keeper is None:
             return answer(None)
         ticket = self.service.keeper.keep_settings(tree, self.base, version)
-        self.keeping = ticket, self.loop.now + KEEP_MOST, answer
+        self.keeping.append((ticket, self.loop.now + KEEP_MOST, answer))
         return self.loop.wake()
 
+    def unkeep(self, tree, version):
+        """Nobody waits for it: under a slow disk the newest state wins."""
+        if self.service.keeper is not None:
+            self.service.keeper.keep_settings(tree, self.base, version)
+
     def keep_startup(self, answer):
         """The same of startup, as it is now."""
         stores = self.datastores
@@ -176,23 +181,29 @@
             stores.trees[STARTUP] = None
             return answer(Refused("operation-failed", "without a state folder nothing outlasts a restart, so "
                                                       "startup cannot differ from running"))
-        return self.keep(stores.tree(STARTUP), stores.version, lambda why: answer(
-            Refused("resource-denied", why) if why else None))
+
+        def kept(why):
+            if why:                  # it may come there yet: a restart begins with what runs
+                stores.trees[STARTUP] = None
+                self.unkeep(stores.tree(STARTUP), stores.version)
+            answer(Refused("resource-denied", why) if why else None)
+        return self.keep(stores.tree(STARTUP), stores.version, kept)
 
     def end_of_turn(self, now):
         """What is due: a tree that has become safe, a commit that was not confirmed, words for sessions."""
-        if self.keeping is not None:
-            ticket, due, answer = self.keeping
+        waiting, self.keeping = self.keeping, []
+        for ticket, due, answer in waiting:
             safe = self.service.keeper.safe(ticket)
             if safe or now >= due:
-                self.keeping = None
                 answer(None if safe else "the state folder's disk does not take it")
+            else:
+                self.keeping.append((ticket, due, answer))
         self.datastores.tick(now, self._undone)
         for door in self.doors:
             door.end_of_turn()
 
     def due(self):
-        dues = [self.datastores.due(), self.keeping and self.keeping[1]]
+        dues = [self.datastores.due(), *(due for _, due, _ in self.keeping)]
         return min((due for due in dues if due is not None), default=None)
 
     # The files
--- a/tests/test_manage.py
+++ b/tests/test_manage.py
@@ -163,7 +163,7 @@
 
     def __init__(self):
         self.applied, self.harm, self.fault, self.later, self.asked = [], None, None, False, []
-        self.told = []
+        self.told, self.unkept = [], []
 
     def check(self, tree, running):
         if self.harm:
@@ -177,6 +177,9 @@
     def kept(self, why):
         self.asked.pop(0)(why)
 
+    def unkeep(self, tree, version):
+        self.unkept.append(tree)
+
     def refused(self, by, why):
         self.told.append(why)
 
@@ -229,6 +232,7 @@
         assert s.commit("a") == "operation-failed"
     assert s.pace() == "100.0" and s.stores.version == 1 and not s.host.applied and s.pace(CANDIDATE) == "5.0"
     assert s.stores.busy is None and s.stores.refused == 1 == len(s.host.told)
+    assert s.host.unkept == ([] if trouble == "harm" else [s.stores.tree(RUNNING)])
 
 
 def test_a_commit_begun_from_a_version_that_has_passed_is_refused():
--- a/tests/test_netconf.py
+++ b/tests/test_netconf.py
@@ -400,6 +400,14 @@
         house.service.keeper.writer.folder.sync = lambda name: time.sleep(0.6)
         answer = one.commit()
         assert tag_of(answer) == "resource-denied" and house.settings()["lines_per_s"] == 1000
+        two = house.manager()                      # two that wait for the disk are both answered
+        one.send("<commit/>")
+        assert tag_of(two.edit("<class><name>late</name></class>", "startup")) == "resource-denied"
+        assert tag_of(one.receive()) == "resource-denied"
+        writer = house.service.keeper.writer
+    writer.thread.join(10)                         # this process held the folder for as long as its disk hung
+    with House(tmp_path, folder, state=True) as house:  # what was refused does not come back with a restart
+        assert house.settings()["lines_per_s"] == 1000 and len(house.settings()["classes"]) == 1
 
 
 # Bad peers
