A stop that another thread asks for cannot ring a bell that is closed

Cause: stop sets its mark, then wakes; the loop may see the mark and close between the two. Seen once, as an OSError at the end of a NETCONF test.

--- a/granitespool/net/loop.py
+++ b/granitespool/net/loop.py
@@ -7,6 +7,7 @@
 import heapq
 import os
 import select
+import threading
 import time
 
 IN, OUT = select.EPOLLIN, select.EPOLLOUT
@@ -32,6 +33,7 @@
         offset = time.time_ns() - time.monotonic_ns()
         self.clock = clock or (lambda: time.monotonic_ns() + offset)
         self.now, self.next_due = self.clock(), None
+        self.ringing = threading.RLock()
         self.bell = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
         self.epoll.register(self.bell, IN)
 
@@ -48,8 +50,11 @@
 
     def wake(self):
         """Ends the wait for events, so that a turn follows; may be called from a signal handler."""
-        if self.bell is not None:    # closed: the number may be another's descriptor by now
-            os.eventfd_write(self.bell, 1)
+        # Another thread's wake against `close`: who asks for the end may find the loop closed already, and its
+        # bell's number may be another's descriptor. The lock is one that a signal handler may take again.
+        with self.ringing:
+            if self.bell is not None:
+                os.eventfd_write(self.bell, 1)
 
     def stop(self):
         """Ends `run`; may be called from a signal handler."""
@@ -134,6 +139,7 @@
         for task in list(self.all):
             self.end(task)
         self.epoll.close()
-        bell, self.bell = self.bell, None
-        if bell is not None:
-            os.close(bell)
+        with self.ringing:
+            bell, self.bell = self.bell, None
+            if bell is not None:
+                os.close(bell)
