--- a/granitespool/net/door.py
+++ b/granitespool/net/door.py
@@ -20,7 +20,8 @@
 
 BACKLOG = 16              # connections the system holds for us: managers are few
 HANDSHAKE = 5 * SECOND    # ns for the handshake: a long way and a slow client's signature
-READ = 32 * 1024          # bytes read in one turn
+READ = 8 * 1024           # bytes read in one turn: some thirty calls of gRPC, three milliseconds
+WRITE = 64 * 1024         # bytes written in one call
 UNSENT_HIGH = 256 * 1024  # bytes that wait for one manager past which nothing is read or worked on for it
 UNSENT_MOST = 4 << 20     # bytes that may wait at all: the largest answer in the making, and notifications
 STEP = 2_000_000          # ns of work in one turn for all of a door: half of what a turn may grow by
@@ -204,7 +205,7 @@
     def _flush(session):
         while session.buffer:
             try:
-                sent = session.sock.send(session.buffer[:READ])
+                sent = session.sock.send(session.buffer[:WRITE])
             except BlockingIOError:
                 return
             del session.buffer[:sent]
--- a/granitespool/net/loop.py
+++ b/granitespool/net/loop.py
@@ -50,7 +50,7 @@
 
     def wake(self):
         """Ends the wait for events, so that a turn follows; may be called from a signal handler."""
-        # Another thread's wake against `close`: who asks for the end may find the loop closed already, and its
+        # Against a wake of another thread: who asks for the end may find the loop closed already, and its
         # bell's number may be another's descriptor. The lock is one that a signal handler may take again.
         with self.ringing:
             if self.bell is not None:
