--- a/granitespool/cli/state.py
+++ b/granitespool/cli/state.py
@@ -53,19 +53,26 @@
     return 1 if problems else 0
 
 
-def show(folder):
-    """What is held, how old it is, and what a start with the usual settings would believe now."""
+def _newest(folder):
+    """(Found, Kept) of the newest whole state, or (None, None) and a line that says so; tells what is torn."""
     found, problems = recover(folder, READ_MOST)
     for problem in problems:
         print(problem)
     if found is None:
         print(f"{folder.path}: holds no state that can be read")
-        return 1
-    header = found.header
+        return None, None
     try:
-        kept = record.kept(header.format, found.held)
+        return found, record.kept(found.header.format, found.held)
     except Spoilt as error:
         raise BadInput(f"{found.name}: {error}") from None
+
+
+def show(folder):
+    """What is held, how old it is, and what a start with the usual settings would believe now."""
+    found, kept = _newest(folder)
+    if found is None:
+        return 1
+    header = found.header
     now, then = trust.Clocks(time.time_ns(), time.monotonic_ns()), trust.Clocks(*found.clocks)
     age, usual = trust.age_of(then, now), State(folder=folder.path)
     classes, zones = (", ".join(map(str, names)) or "none" for names in (header.classes, header.zones))
@@ -109,16 +116,9 @@
     if not os.path.isdir(folder.path):
         raise BadInput(f"there is no folder {folder.path}")
     folder.lock()
-    found, problems = recover(folder, READ_MOST)
-    for problem in problems:
-        print(problem)
+    found, kept = _newest(folder)
     if found is None:
-        print(f"{folder.path}: holds no state that can be read, so nothing was changed")
         return 1
-    try:
-        kept = record.kept(found.header.format, found.held)
-    except Spoilt as error:
-        raise BadInput(f"{found.name}: {error}, so nothing was changed") from None
     header = msgspec.structs.replace(found.header, format=record.FORMAT, program=__version__)
     store = Store(folder, READ_MOST, lambda: header)
     store.take({key: record.value_bytes(value) for values in record.values_of(kept).values()
