--- a/granitespool/cli/state.py
+++ b/granitespool/cli/state.py
@@ -54,7 +54,7 @@
 
 
 def _newest(folder):
-    """(Found, Kept) of the newest whole state, or (None, None) and a line that says so; tells what is torn."""
+    """(Found, Kept) of the newest whole state, or (None, None) and a line that says so."""
     found, problems = recover(folder, READ_MOST)
     for problem in problems:
         print(problem)
