--- a/granitespool/manage/picture.py
+++ b/granitespool/manage/picture.py
@@ -13,7 +13,8 @@
 
 
 class Picture:
-    """`facts`: name, version, commits, refused, index, named, folder (written, batches, failing, or None)."""
+    """`facts`: name, version, commits, refused, index, named, age (ns of the list), folder (written, batches,
+    failing, or None)."""
 
     def __init__(self, coordinator, facts):
         self.coordinator, self.facts, self.tree = coordinator, facts, {}
@@ -23,7 +24,8 @@
         fleet = coordinator.pictured_fleet()
         self.tree.update({
             "name": facts["name"], "version": facts["version"],
-            "discovery": {"index": str(facts["index"]), "named": facts["named"]},
+            "discovery": {"index": str(facts["index"]), "named": facts["named"],
+                          "age": str(max(0, facts["age"]) // US)},
             "proxies": {"joined": fleet["joined"], "waiting": fleet["unbound"]},
             "channel": {"waiting": str(max(0, int(fleet["waiting"]))), "lag": str(int(fleet["lag"]) // US)},
             "fleet": {"strained": fleet["strained"], "let-in": decimal(fleet["room"]),
--- a/granitespool/net/managing.py
+++ b/granitespool/net/managing.py
@@ -67,6 +67,7 @@
         self.from_file = None                      # the configuration that a reload brings, meanwhile
         self.keeping = []                          # (ticket, due, answer) of what is on its way to the disk
         self.sessions, self.numbers = {}, 0
+        self.list_seen = service.discovery.index, loop.now  # version of the list, since when
         self.cuts, self.levels, self.strained, self.doors = {}, {}, False, []
         operator = service.config["operator"]
         self.users, self.shared = self._users(operator), Shared(self)
@@ -191,6 +192,8 @@
 
     def end_of_turn(self, now):
         """What is due: a tree that has become safe, a commit that was not confirmed, words for sessions."""
+        if self.service.discovery.index != self.list_seen[0]:
+            self.list_seen = self.service.discovery.index, now
         waiting, self.keeping = self.keeping, []
         for ticket, due, answer in waiting:
             safe = self.service.keeper.safe(ticket)
@@ -237,6 +240,7 @@
         return Picture(service.coordinator, {
             "name": service.config["name"], "version": stores.version, "commits": stores.commits,
             "refused": stores.refused, "index": service.discovery.index, "named": service.discovery.named,
+            "age": self.loop.now - self.list_seen[1],
             "folder": service.keeper and service.keeper.figures()})
 
     def notify(self, name, **fields):
--- a/tests/test_manage.py
+++ b/tests/test_manage.py
@@ -334,7 +334,7 @@
             return None if name == "gone" else (facts, seen)
     picture = Picture(Some(), {"name": "c", "version": 1, "commits": 0, "refused": 0, "index": 3,
                                "named": True,
-                               "folder": (7, 2, False)})
+                               "folder": (7, 2, False), "age": 5000})
     assert len(list(picture.steps())) >= 1
     outs = [view.get("out") for each in picture.tree["backend"] for view in each["seen-from"]]
     assert outs == ["cut", None, "unproven", None]
--- a/tests/test_netconf.py
+++ b/tests/test_netconf.py
@@ -92,6 +92,13 @@
     assert "<lines-per-second>1000.0<" in one.config()
     assert tag_of(one.commit()) == "ok" and house.settings()["lines_per_s"] == 500
     assert "<version>2</version>" in one.ask("<get/>")
+    ages = []
+    for index in (1, 1, 2):
+        house.service.discovery.index = index      # as a message of the list sets it, in a turn
+        house.service.loop.wake()
+        time.sleep(0.25)
+        ages.append(int(re.search(r"<age>(\d+)<", one.ask("<get/>"))[1]))
+    assert 200_000 < ages[0] < ages[1] - 200_000 and ages[2] < ages[1]
     house.logged("settings_changed", by="operations", version=2)
     most = house.service.streams.most
     assert tag_of(one.edit("<limits><descriptors>512</descriptors></limits>")) == tag_of(one.commit()) == "ok"
