--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -93,9 +93,9 @@
         self.levels, self.slices = defaultdict(dict), {}  # table -> {class: as sent}; slice held -> lines
         self.flushed_at = -1
         self.next_flush = self.next_alarm = self.flush_due = self.lag = self.shut_at = 0  # lag: of marks
-        self.credit = SAVED * settings.get("lines_per_s", 1e9)  # lines for ordinary changes
+        self.later, self.credit = False, SAVED * settings.get("lines_per_s", 1e9)  # lines for ordinary changes
         self.short = self.listed_once = self.strained = self.bare = False  # short: a rule line waits
-        self.later, self.through, self.room, self.asked = False, 1.0, 1.0, {}  # answered part of tries; let-in part; by class
+        self.through, self.room, self.asked = 1.0, 1.0, {}  # answered part of tries; let-in part; by class
         self.doubt = 0                            # until when a remembered strain is believed unheard
         if settings.get("subscribe"):
             host.observe(True)
