--- a/granitespool/facade.py
+++ b/granitespool/facade.py
@@ -96,22 +96,24 @@
                 "waiting": planner.channel.waiting,
                 "lag": planner.lag, "strained": planner.strained, "room": planner.room,
                 "through": planner.through,
-                "tables": [(zone, len(self.tables.get(table, ())), {
-                    self.classes[k]: level for k, level in sorted(self.levels.get(table, {}).items())})
-                    for zone, table in planner.tables.items()]}
+                "tables": [(zone, sum(len(self.tables.get(table, ())) for table in tables), {
+                    self.classes[k]: level for k, level in sorted(self.levels.get(tables[0], {}).items())})
+                    for zone, tables in planner.tables.items()]}
 
     def pictured(self, backend):
         """(phase, zone, kind and proven by name, {zone: (weight, cost in ns or None, cut, shut out)}) of a
         backend, or None where it is not known."""
         rec = self.planner.backends.get(backend)
         return rec and ({"phase": rec.phase, "zone": rec.zone, "kind": rec.kind, "proven": rec.proven}, {
-            zone: (rec.sent.get(table, 0.0), link and link.cost, bool(link) and link.cut_at is not None,
+            zone: (max(rec.sent.get(table, 0.0) for table in tables), link and link.cost,
+                   bool(link) and link.cut_at is not None,
                    backend in self.withdrawn)
-            for zone, table in self.planner.tables.items() for link in (rec.links.get(zone),)})
+            for zone, tables in self.planner.tables.items() for link in (rec.links.get(zone),)})
 
     def joined_zones(self):
         """Zones that proxies have joined from."""
-        return {zone for zone, _ in self.planner.proxies.values()}
+        used = {table for table, _ in self.planner.proxies.values()}
+        return {zone for zone, tables in self.planner.tables.items() if used.intersection(tables)}
 
     def waits(self, settings):
         """Names of these settings that differ from those in force and would wait for a restart."""
--- a/granitespool/lab/world.py
+++ b/granitespool/lab/world.py
@@ -318,7 +318,9 @@
 
     def table(self, zone):
         """{backend: share} of the coordinator's table for a zone; empty where there is none."""
-        lines = self.coordinator.tables.get(self.zones.index(zone), {}) if self.coordinator else {}
+        held = self.coordinator.planner.tables.get(zone, ()) if self.coordinator else ()
+        lines = {name: weight for table in held
+                 for name, weight in self.coordinator.tables.get(table, {}).items()}
         total = sum(lines.values())
         return {name: weight / total for name, weight in lines.items()} if total else {}
 
--- /dev/null
+++ b/granitespool/routing/hands.py
@@ -0,0 +1,71 @@
+"""Hands: a fleet whose whole table the channel cannot carry to everyone is dealt among a zone's proxies.
+
+A coordinator may have to take the proxies of others that died, and each that joins has the drain's grace
+until the table it came with must be right. Where whole tables cannot be there by then, the fleet is dealt
+into hands of like servers and a table holds one of them: it costs its part of the lines, and so does a drain.
+One hand is the whole fleet, and then nothing is dealt. A table has copies where more proxies use it than one
+line could reach.
+"""
+from collections import Counter
+
+SECOND = 1_000_000_000  # ns
+TAKES = 4        # proxies' shares that one coordinator may have to carry: its own and three others'
+PART = 0.5       # part of what the channel carries within the grace that binding may take: drains need more
+LEAST = 16       # servers of a hand at least: with a third of them cut, those left still share evenly
+REDEAL = 1.5     # factor that the fleet's size must have moved by for all to be dealt anew: it has a price
+UNEVEN = 2       # times the smallest hand's size, and one more, that the largest may have: else one moves
+USERS_PART = 0.5  # part of the queue that one line to all users of a table may take
+
+
+class Hands:
+    def __init__(self):
+        self.count, self.dealt_for = 1, 0
+        self.sizes, self.like = Counter(), Counter()  # hand -> its backends; (hand, zone, kind) -> those
+
+    def wanted(self, settings, channel, fleet):
+        """How many hands the channel asks for."""
+        grace, expected = settings.get("drain_grace"), settings.get("proxies_expected")
+        if not grace or not expected or not settings.get("lines_per_s") or settings.get("slices"):
+            return 1
+        takers = min(expected, TAKES * -(-expected // max(1, settings.get("planners") or 1)))
+        fixed = channel.head + 1 + len(settings.get("classes") or ())
+        lines = int(PART * channel.pace * grace / SECOND / takers) - fixed
+        return 1 if lines >= fleet else max(1, fleet // max(LEAST, lines))
+
+    def deal(self, settings, channel, backends):
+        """Gives every ready backend its hand, and takes it from the others."""
+        ready = [rec for rec in backends if rec.phase == "ready"]
+        anew = not self.dealt_for / REDEAL <= len(ready) <= self.dealt_for * REDEAL
+        if anew:
+            self.dealt_for, self.count = len(ready), self.wanted(settings, channel, len(ready))
+        for rec in backends:
+            rec.hand = None if anew or rec.phase != "ready" else rec.hand
+        self.sizes, self.like = Counter(), Counter()
+        for rec in ready:
+            if rec.hand is not None:
+                self._give(rec, rec.hand)
+        for rec in ready:
+            if rec.hand is None:
+                self._give(rec, min(range(self.count), key=lambda hand: (
+                    self.like[hand, rec.zone, rec.kind], self.sizes[hand], hand)))
+        while self.count > 1:
+            large, small = (pick(range(self.count), key=self.sizes.__getitem__) for pick in (max, min))
+            if self.sizes[large] <= UNEVEN * self.sizes[small] + 1:
+                return
+            rec = max((rec for rec in ready if rec.hand == large),
+                      key=lambda rec: self.like[large, rec.zone, rec.kind])
+            self._give(rec, large, -1)
+            self._give(rec, small)
+
+    def _give(self, rec, hand, one=1):
+        rec.hand = hand
+        self.sizes[hand] += one
+        self.like[hand, rec.zone, rec.kind] += one
+
+    def holding(self, rec, tables):
+        """Those of a zone's tables, in order, that hold this backend."""
+        return [] if rec.hand is None else tables[rec.hand::self.count]
+
+    def crowded(self, channel, users):
+        """Whether a table has as many users as one line could reach in one go."""
+        return users * (1 + channel.head) >= USERS_PART * channel.limit
--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -8,6 +8,7 @@
 from random import Random
 
 from granitespool.channel import Channel
+from granitespool.routing.hands import Hands
 
 SECOND = 1_000_000_000  # ns
 ALPHA = 0.5             # per percent: steepness of f(u), the paper's
@@ -48,6 +49,7 @@
 SLOW_LAG = 0.6          # part of the told time of a full queue: a mark that took more shows a slow channel
 SLOW_PART = 0.2         # part that moves may fill then: a drain must not wait behind them
 BIND_PART = 0.35        # part of the queue that binds may fill: drains need the rest
+IN_TIME = 0.5           # part of the drain's grace within which all joiners must be bound, or are shut out of
 MARK_LOST = 8           # full queues at the told pace after which a mark is lost: one eight times slowed
 DOUBT = 3 * SECOND      # ns that a remembered strain holds unless it is met: reports of the first two seconds
 REMEMBERED = "phase", "zone", "kind", "listed", "started", "gone_at", "ramp_from", "proven", "missing"
@@ -74,7 +76,7 @@
     def __init__(self, backend, now):
         self.id, self.zone, self.kind, self.phase, self.seen_at = backend, None, None, "gone", now
         self.listed, self.started, self.ramp_from, self.probed_at = 1.0, 0, None, -PERIOD
-        self.links, self.sent = {}, {}
+        self.links, self.sent, self.hand = {}, {}, None  # hand: part of the fleet, where tables are dealt
         self.tried = self.missed = self.done = self.spent = 0.0
         self.missing, self.proven, self.gone_at = False, True, None  # gone by the list alone; answers; when
 
@@ -86,9 +88,11 @@
     def __init__(self, host, now, seed, settings):
         self.host, self.jitter, self.channel = host, Random(seed).uniform, Channel()
         self.new_settings(now, settings)
-        self.backends, self.proxies, self.average = {}, {}, {}  # id -> Backend, (zone, rate); zone -> ns
+        self.backends, self.proxies, self.average = {}, {}, {}  # id -> Backend, (table, rate); zone -> ns
         self.unbound = {}                         # proxy yet to be bound -> (others' lines it holds, since)
-        self.tables = {zone: k for k, zone in enumerate(settings.get("zones") or [])}  # zone -> its table
+        self.hands, self.tables, self.loads = Hands(), {}, Counter()  # zone -> its tables; rates on each
+        for zone in settings.get("zones") or []:
+            self._add_table(zone)
         self.lines, self.users = Counter(), defaultdict(dict)  # table -> its lines; proxies bound to it
         self.levels, self.slices = defaultdict(dict), {}  # table -> {class: as sent}; slice held -> lines
         self.flushed_at, self.later = -1, False
@@ -115,8 +119,12 @@
         for rec in [rec for rec in self.backends.values() if form != "changes" and rec.id not in seen]:
             self._entry(now, rec.id, rec.zone, rec.kind, None, "gone", rec.listed, 0)
         self.listed_once = True
+        self.hands.deal(self.settings, self.channel, self.backends.values())
         self._flush(now)
 
+    def _add_table(self, zone):
+        self.tables.setdefault(zone, []).append(sum(map(len, self.tables.values())))
+
     def _entry(self, now, backend, zone, kind, cell, phase, weight, started):
         rec = self.backends.get(backend)
         if rec is None:
@@ -252,7 +260,8 @@
         rec = self.backends.get(backend)
         if rec is None or tries <= 0:
             return
-        self.tables.setdefault(zone, len(self.tables))
+        if zone not in self.tables:
+            self._add_table(zone)
         link = rec.link(zone)
         answered = max(0, tries - failed) if mean > 0 else 0
         if answered:
@@ -278,15 +287,17 @@
             link.cut_at, link.ramp_from = None, now
             self._flush(now, rec)
         elif link.over >= CUT_REPORTS and link.cut_at is None and (link.streak >= CUT_TRIES or answered):
-            self._cut(now, zone, link)
+            self._cut(now, zone, rec)
             self._flush(now, rec)
         elif failed >= tries:
             self._probe(now, rec)
 
-    def _cut(self, now, zone, link):
+    def _cut(self, now, zone, rec):
         # Past the cap a server stays as a last resort: a few tries tell when it heals, or all weigh alike
-        ready = [rec.link(zone) for rec in self.backends.values() if rec.phase == "ready"]
+        ready = [each.link(zone) for each in self.backends.values()
+                 if each.phase == "ready" and each.hand == rec.hand]
         out = sum(1 for each in ready if each.cut_at is not None and not each.spare)
+        link = rec.link(zone)
         link.spare, link.cut_at = (out + 1) * CUT_SHARE > len(ready), now
 
     def _prove(self, now, rec):
@@ -318,7 +329,7 @@
                 # A probe may wait in the queue like a transaction: late, it is worth a few tries and no more.
                 link.streak += LATE_PROBE if late else CUT_TRIES
                 if link.streak >= CUT_TRIES:
-                    self._cut(now, zone, link)
+                    self._cut(now, zone, rec)
         self._flush(now, rec)
 
     def arrivals(self, now, proxy, grade, number, unanswered, window):
@@ -326,21 +337,29 @@
 
     def joined(self, now, proxy, zone, standing, rate, again=False):  # again: on the stream that was silent
         self.left(now, proxy, again)
-        self.proxies[proxy] = zone, rate
-        self.tables.setdefault(zone, len(self.tables))
+        while len(self.tables.get(zone, ())) < self.hands.count:
+            self._add_table(zone)
+        table = min(self.tables[zone], key=lambda table: (self.loads[table], table))
+        if self.hands.crowded(self.channel, len(self.users[table])):
+            self._add_table(zone)
+            table = self.tables[zone][-1]
+        self.proxies[proxy] = table, rate
+        self.loads[table] += 1 + rate
         if self.settings.get("slices"):
             for rec in self.backends.values():
                 rec.sent.pop("out", None)         # what was shut out before did not reach this one
             return self._flush(now)
         held = min(len(self.backends), self.settings.get("standing_lines", 0) if standing else 1e9)
         self.unbound[proxy] = held, now
-        if not self.lines[self.tables[zone]]:
+        if not self.lines[table]:
             self._flush(now)
         self._bind(now, proxy)
 
     def left(self, now, proxy, silent=False):  # silent: what waits for it may still be on its way
         if proxy in self.proxies:
-            self.users[self.tables[self.proxies.pop(proxy)[0]]].pop(proxy, None)
+            table, rate = self.proxies.pop(proxy)
+            self.users[table].pop(proxy, None)
+            self.loads[table] -= 1 + rate
         self.unbound.pop(proxy, None)
         if not silent:
             self.channel.left(proxy)
@@ -384,7 +403,7 @@
                     link.lows, link.recalled = deque([met["low"]] if met["low"] else ()), link.tries > 0
                     if link.cut_at is not None:
                         link.cut_at = None
-                        self._cut(now, zone, link)
+                        self._cut(now, zone, rec)
                         self._probe(now, rec)
         self.through = min(self.through, fleet["through"])
         if fleet["strained"] or fleet["room"] < 1:
@@ -456,7 +475,7 @@
             rec.sent[table] = want
         self._shut_out(now)
         shares = () if only or held else self._shares()
-        for table in self.tables.values():
+        for table in sum(self.tables.values(), []):
             cost = len(self.users[table]) * (len(self.classes) + self.channel.head)
             if shares and self.channel.room(0.5) > 0 and cost <= self.channel.room(RULE_PART):
                 self._levels(now, table, shares)
@@ -474,19 +493,27 @@
     def _moves(self, now, only, held):
         """Lines that differ from the wanted tables, ranked: a rule's by age, others by the weight moved."""
         self.bare = not any(rec.phase == "ready" and rec.proven for rec in self.backends.values())
-        for zone, table in self.tables.items():
-            for rec in (only,) if only else self.backends.values():
-                want, sent = self._want(now, rec, zone), rec.sent.get(table, 0.0)
-                less, moved = want < sent * (1 - RESEND), abs(want - sent)
-                cut = rec.link(zone).cut_at is not None
-                alarm = not want or not sent or less and (cut or self._cold(now, rec))
-                if want != sent and (rec.phase != "ready" or not self.lines[table]):
-                    yield 0, (rec.gone_at or 0, table), rec.id, table, want, False
-                elif want != sent and (alarm or not only and moved > RESEND * sent):
-                    if held:
-                        self.later = True
-                    else:                         # who comes in ranks by what it will carry
-                        yield 1, -(moved if sent else rec.listed), rec.id, table, want, not alarm
+        for rec, zone, table, holds in self._lines_of((only,) if only else self.backends.values()):
+            want, sent = self._want(now, rec, zone) if holds else 0.0, rec.sent.get(table, 0.0)
+            less, moved = want < sent * (1 - RESEND), abs(want - sent)
+            cut = rec.link(zone).cut_at is not None
+            alarm = not want or not sent or less and (cut or self._cold(now, rec))
+            if want != sent and (rec.phase != "ready" or not self.lines[table]):
+                yield 0, (rec.gone_at or 0, table), rec.id, table, want, False
+            elif want != sent and (alarm or not only and moved > RESEND * sent):
+                if held:
+                    self.later = True
+                elif want or self.lines[table] > 1:  # who comes in ranks by what it will carry
+                    yield 1, -(moved if sent else rec.listed), rec.id, table, want, not alarm
+
+    def _lines_of(self, backends):
+        """Each table that holds one of these, or is to: (record, zone, table, whether it is to)."""
+        for rec in backends:
+            for zone, tables in self.tables.items():
+                mine = self.hands.holding(rec, tables)
+                yield from ((rec, zone, table, True) for table in mine)
+                yield from ((rec, zone, table, False) for table in tables
+                            if rec.sent.get(table) and table not in mine)
 
     def _flush_at(self, when, now):
         when = max(when, now + PERIOD // 4)
@@ -502,9 +529,14 @@
             self.shut_at = now
             for rec in self.backends.values():
                 rec.sent.pop("out", None)
+        # Who is bound in time needs nothing shut out
+        work = self.channel.waiting + sum(self.lines[self.proxies[proxy][0]] + len(self.classes) +
+                                          self.channel.head for proxy in self.unbound)
+        late = work * SECOND > IN_TIME * self.settings.get("drain_grace", 0) * self.channel.pace
         turned = [rec for rec in self.backends.values() if rec.sent.get("out", False) != bool(
-            self.unbound and rec.phase != "ready" and rec.gone_at is not None)
-            and not any(rec.sent.get(table) for table in self.tables.values())]
+            self.unbound and rec.phase != "ready" and rec.gone_at is not None and (
+                late or rec.sent.get("out")))
+            and not any(weight for table, weight in rec.sent.items() if table != "out")]
         head, reach, fits, room = self.channel.head, Counter(), [], self.channel.room(RULE_PART)
 
         def lines(held):  # as likely as it holds one: booked whole, what is never sent would fill the account
@@ -546,7 +578,7 @@
         all(self._bind(now, proxy) for proxy in sorted(order, key=order.get))
 
     def _bind(self, now, proxy):
-        table, room = self.tables[self.proxies[proxy][0]], self.channel.room(BIND_PART)
+        table, room = self.proxies[proxy][0], self.channel.room(BIND_PART)
         cost = 1 + self.lines[table] + len(self.levels[table]) + sum(
             self.host.returns((proxy,), table).values())
         if self.short or cost + self.channel.head > room:
