--- a/granitespool/channel.py
+++ b/granitespool/channel.py
@@ -2,12 +2,14 @@
 
 A turn's orders to one proxy are one message: a head, a mark and its lines. They are taken off once the proxy
 answers that mark or a later one, or has left; what is neither is taken off when it has become too old."""
-from collections import deque
+from collections import Counter, deque
 
 SERIALS = 65536         # marks are whole numbers under this
 SECOND = 1_000_000_000  # ns
 UNTOLD = 2 * SECOND     # ns that a full queue takes where no pace or no limit is told: the usual one's
 NO_LIMIT = 1e9          # lines: stands for a queue, or a pace, without a limit
+EMPTY_PART = 0.94       # part that one order may take of an empty queue: what a leaving stream was just being
+#                         sent is passed on to its end, and is counted here no more
 
 
 class Turn:
@@ -30,8 +32,8 @@
         self.full = int(SECOND * self.limit / self.pace) if told else UNTOLD  # ns that a full queue takes
 
     def room(self, part):
-        """Lines that still fit into a part of the queue; one that is empty takes what is under its limit."""
-        return (part if self.waiting else 1) * self.limit - self.waiting
+        """Lines that still fit into a part of the queue; an empty one takes nearly all, whatever the part."""
+        return (part if self.waiting else max(part, EMPTY_PART)) * self.limit - self.waiting
 
     def book(self, now, proxy, lines):
         """More lines in this turn's message to a proxy; True where the turn has no mark yet."""
@@ -48,6 +50,23 @@
         self.waiting += lines
         return first
 
+    def fitting(self, costs, part):
+        """Of orders with these lines by proxy, how many in a row fit into a part of the queue with heads,
+        and the lines that they then are to each proxy, its head not with them. Lines may be parts of one, as
+        likely as they are sent: booked whole, what is never sent would fill the account."""
+        room, reach, fits = self.room(part), Counter(), 0
+        for more in costs:
+            room -= sum(self._message(reach[proxy] + lines) - self._message(reach[proxy])
+                        for proxy, lines in more.items())
+            if room < 0:
+                break
+            reach.update(more)
+            fits += 1
+        return fits, {proxy: self._message(lines) - self.head for proxy, lines in reach.items()}
+
+    def _message(self, lines):
+        return min(1, lines) * (self.head + max(1, lines))
+
     def _serials(self):
         return ((self.serial + 1 + n) % SERIALS for n in range(SERIALS))
 
--- a/granitespool/facade.py
+++ b/granitespool/facade.py
@@ -11,13 +11,13 @@
 import heapq
 import traceback
 
-from granitespool.rules import Planner
+from granitespool.rules import MET, REMEMBERED, Planner
 
 # Parties other than the proxies, which are numbers: what they are given to do, say, write down or forget
 PROBES, PEERS, REMARKS, GONE = "probes", "peers", "remarks", "gone"
 FIXED = "classes", "slices", "subscribe", "index"  # settings that what is kept here or there is built on
-MET = frozenset(("list_news", "heard", "arrivals", "joined", "left", "applied", "probed", "peer_said",
-                 "slice_given", "slice_line", "slice_load", "recalled"))
+REPORTS = frozenset(("list_news", "heard", "arrivals", "joined", "left", "applied", "probed", "peer_said",
+                     "slice_given", "slice_line", "slice_load", "recalled"))
 AS_THEY_COME = frozenset(("peer_said", "slice_load"))  # whose words the planner does not name
 
 
@@ -56,7 +56,7 @@
 
     def report(self, now, what, **met):
         """What was met; `what` and the words of `met` are the planner's method and its parameters."""
-        assert what in MET, what
+        assert what in REPORTS, what
         self.now = max(self.now, now)
         if what == "joined":
             self._forget_party(met["proxy"])
@@ -86,7 +86,10 @@
     def learnt(self, backends):
         """What the planner has learnt of the fleet and of these backends, to be reported as `recalled` by a
         later life: (fleet, {backend: (facts, {zone: facts})}), times in ns of the clock that was told."""
-        return self.planner.learnt(backends)
+        fleet = {key: getattr(self.planner, key) for key in ("strained", "room", "through", "asked")}
+        return fleet, {rec.id: ({key: getattr(rec, key) for key in REMEMBERED}, {
+            zone: {"low": link.lows[0] if link.lows else None, **{key: getattr(link, key) for key in MET}}
+            for zone, link in rec.links.items()}) for rec in map(self.planner.backends.get, backends) if rec}
 
     def pictured_fleet(self):
         """Figures of the whole: joined, unbound, waiting (lines), lag (ns), strained, room, through, and
--- a/granitespool/routing/hands.py
+++ b/granitespool/routing/hands.py
@@ -18,10 +18,50 @@
 
 
 class Hands:
-    def __init__(self):
+    def __init__(self, zones):
         self.count, self.dealt_for = 1, 0
+        self.tables, self.number = {}, 0               # zone -> its tables; how many there are
+        self.proxies, self.loads = Counter(), Counter()  # table -> who is or will be on it; their rates
+        for zone in zones:
+            self.know(zone)
         self.sizes, self.like = Counter(), Counter()  # hand -> its backends; (hand, zone, kind) -> those
 
+    def know(self, zone):
+        """This zone, which has a table at least from now on."""
+        if zone not in self.tables:
+            self._add(zone)
+        return zone
+
+    def _add(self, zone):
+        self.tables.setdefault(zone, []).append(self.number)
+        self.number += 1
+
+    def join(self, zone, rate, channel):
+        """The table for a proxy that joins: the least laden, or a further one where all have too many users
+        for one line to reach them in one go."""
+        while len(self.tables.get(zone, ())) < self.count:
+            self._add(zone)
+        table = min(self.tables[zone], key=lambda each: (self.loads[each], each))
+        if self.proxies[table] * (1 + channel.head) >= USERS_PART * channel.limit:
+            self._add(zone)
+            table = self.tables[zone][-1]
+        self.proxies[table] += 1
+        self.loads[table] += 1 + rate
+        return table
+
+    def left(self, table, rate):
+        self.proxies[table] -= 1
+        self.loads[table] = max(0.0, self.loads[table] - 1 - rate) if self.proxies[table] else 0.0
+
+    def lines_of(self, backends):
+        """Each table that holds one of these, or is to: (record, zone, table, whether it is to)."""
+        for rec in backends:
+            for zone, tables in self.tables.items():
+                mine = [] if rec.hand is None else tables[rec.hand::self.count]
+                yield from ((rec, zone, table, True) for table in mine)
+                yield from ((rec, zone, table, False) for table in tables
+                            if rec.sent.get(table) and table not in mine)
+
     def wanted(self, settings, channel, fleet):
         """How many hands the channel asks for."""
         grace, expected = settings.get("drain_grace"), settings.get("proxies_expected")
@@ -61,11 +101,3 @@
         rec.hand = hand
         self.sizes[hand] += one
         self.like[hand, rec.zone, rec.kind] += one
-
-    def holding(self, rec, tables):
-        """Those of a zone's tables, in order, that hold this backend."""
-        return [] if rec.hand is None else tables[rec.hand::self.count]
-
-    def crowded(self, channel, users):
-        """Whether a table has as many users as one line could reach in one go."""
-        return users * (1 + channel.head) >= USERS_PART * channel.limit
--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -90,9 +90,8 @@
         self.new_settings(now, settings)
         self.backends, self.proxies, self.average = {}, {}, {}  # id -> Backend, (table, rate); zone -> ns
         self.unbound = {}                         # proxy yet to be bound -> (others' lines it holds, since)
-        self.hands, self.tables, self.loads = Hands(), {}, Counter()  # zone -> its tables; rates on each
-        for zone in settings.get("zones") or []:
-            self._add_table(zone)
+        self.hands = Hands(settings.get("zones") or [])
+        self.tables = self.hands.tables           # zone -> its tables, one for each hand of the fleet
         self.lines, self.users = Counter(), defaultdict(dict)  # table -> its lines; proxies bound to it
         self.levels, self.slices = defaultdict(dict), {}  # table -> {class: as sent}; slice held -> lines
         self.flushed_at, self.later = -1, False
@@ -122,9 +121,6 @@
         self.hands.deal(self.settings, self.channel, self.backends.values())
         self._flush(now)
 
-    def _add_table(self, zone):
-        self.tables.setdefault(zone, []).append(sum(map(len, self.tables.values())))
-
     def _entry(self, now, backend, zone, kind, cell, phase, weight, started):
         rec = self.backends.get(backend)
         if rec is None:
@@ -260,9 +256,7 @@
         rec = self.backends.get(backend)
         if rec is None or tries <= 0:
             return
-        if zone not in self.tables:
-            self._add_table(zone)
-        link = rec.link(zone)
+        link = rec.link(self.hands.know(zone))
         answered = max(0, tries - failed) if mean > 0 else 0
         if answered:
             self._prove(now, rec)
@@ -337,14 +331,7 @@
 
     def joined(self, now, proxy, zone, standing, rate, again=False):  # again: on the stream that was silent
         self.left(now, proxy, again)
-        while len(self.tables.get(zone, ())) < self.hands.count:
-            self._add_table(zone)
-        table = min(self.tables[zone], key=lambda table: (self.loads[table], table))
-        if self.hands.crowded(self.channel, len(self.users[table])):
-            self._add_table(zone)
-            table = self.tables[zone][-1]
-        self.proxies[proxy] = table, rate
-        self.loads[table] += 1 + rate
+        self.proxies[proxy] = table, _ = self.hands.join(zone, rate, self.channel), rate
         if self.settings.get("slices"):
             for rec in self.backends.values():
                 rec.sent.pop("out", None)         # what was shut out before did not reach this one
@@ -359,7 +346,7 @@
         if proxy in self.proxies:
             table, rate = self.proxies.pop(proxy)
             self.users[table].pop(proxy, None)
-            self.loads[table] -= 1 + rate
+            self.hands.left(table, rate)
         self.unbound.pop(proxy, None)
         if not silent:
             self.channel.left(proxy)
@@ -379,13 +366,6 @@
         if table in self.slices:
             self.slices[table][backend] = weight
 
-    def learnt(self, backends):
-        """What is known of the fleet and of these backends, in plain values that `recalled` takes back."""
-        fleet = {key: getattr(self, key) for key in ("strained", "room", "through", "asked")}
-        return fleet, {rec.id: ({key: getattr(rec, key) for key in REMEMBERED}, {
-            zone: {"low": link.lows[0] if link.lows else None, **{key: getattr(link, key) for key in MET}}
-            for zone, link in rec.links.items()}) for rec in map(self.backends.get, backends) if rec}
-
     def recalled(self, now, fleet, backends):
         """What a former life had learnt, as far as it is believed; at a start, before anyone joins. The first
         reports of a server outweigh it, cuts keep to their cap and are probed, cold servers stay guarded."""
@@ -453,24 +433,21 @@
         moves = sorted(self._moves(now, only, held))
         rule = sum(len(self.users[move[3]]) for move in moves if not move[0])
         # Who is not bound keeps a jam up by another's table: moves make room. Harm: weights stand still then.
-        slow = self.lag > SLOW_LAG * self.channel.full or bool(self.unbound)
+        slow = self.unbound or self.lag > SLOW_LAG * self.channel.full
         part = 0 if self.short else SLOW_PART if slow else 0.5
-        # Few at a time are mostly heads
-        crowded = self.channel.room(RULE_PART) < rule / 2 and self.channel.room(0.5) < 0
+        crowded = self.channel.room(RULE_PART) < rule / 2 and self.channel.room(0.5) < 0  # few: mostly heads
         for urgency, _, backend, table, want, ordinary in moves:
             rec, users = self.backends[backend], self.users[table]
             back = self.host.returns(users, table, rec.id) if want and not rec.sent.get(table) else {}
             cost = len(back) + len(users) * (1 if table in touched else 1 + self.channel.head)
             room = self.channel.room(part if urgency else RULE_PART * (not crowded))
-            if cost > room and (urgency or self.channel.waiting > 0) or ordinary and cost > self.credit:
+            if cost > max(0, room) or ordinary and cost > self.credit:
                 self.short = self.short or not urgency  # nothing else may use what frees until this fits
                 left = 4 if self.credit > cost and not self.unbound else left
                 continue
             self.credit -= cost * ordinary
             touched.add(table)
-            self._order(now, users, self.host.weigh, table, rec.id, want)
-            for proxy, lines in back.items():
-                self._count(now, proxy, lines)
+            self._order(now, users, self.host.weigh, table, rec.id, want, more=back)
             self.lines[table] += bool(want) - bool(rec.sent.get(table))
             rec.sent[table] = want
         self._shut_out(now)
@@ -493,7 +470,7 @@
     def _moves(self, now, only, held):
         """Lines that differ from the wanted tables, ranked: a rule's by age, others by the weight moved."""
         self.bare = not any(rec.phase == "ready" and rec.proven for rec in self.backends.values())
-        for rec, zone, table, holds in self._lines_of((only,) if only else self.backends.values()):
+        for rec, zone, table, holds in self.hands.lines_of((only,) if only else self.backends.values()):
             want, sent = self._want(now, rec, zone) if holds else 0.0, rec.sent.get(table, 0.0)
             less, moved = want < sent * (1 - RESEND), abs(want - sent)
             cut = rec.link(zone).cut_at is not None
@@ -506,15 +483,6 @@
                 elif want or self.lines[table] > 1:  # who comes in ranks by what it will carry
                     yield 1, -(moved if sent else rec.listed), rec.id, table, want, not alarm
 
-    def _lines_of(self, backends):
-        """Each table that holds one of these, or is to: (record, zone, table, whether it is to)."""
-        for rec in backends:
-            for zone, tables in self.tables.items():
-                mine = self.hands.holding(rec, tables)
-                yield from ((rec, zone, table, True) for table in mine)
-                yield from ((rec, zone, table, False) for table in tables
-                            if rec.sent.get(table) and table not in mine)
-
     def _flush_at(self, when, now):
         when = max(when, now + PERIOD // 4)
         if not now < self.flush_due <= when:      # a drain does not wait for a later flush
@@ -529,34 +497,29 @@
             self.shut_at = now
             for rec in self.backends.values():
                 rec.sent.pop("out", None)
-        # Who is bound in time needs nothing shut out
-        work = self.channel.waiting + sum(self.lines[self.proxies[proxy][0]] + len(self.classes) +
-                                          self.channel.head for proxy in self.unbound)
-        late = work * SECOND > IN_TIME * self.settings.get("drain_grace", 0) * self.channel.pace
+        # Who is bound in time, or for no more lines, needs nothing shut out
+        binds = sum(self.lines[self.proxies[proxy][0]] + len(self.classes) + self.channel.head
+                    for proxy in self.unbound)
+        late = (self.channel.waiting + binds) * SECOND > (
+            IN_TIME * self.settings.get("drain_grace", 0) * self.channel.pace)
         turned = [rec for rec in self.backends.values() if rec.sent.get("out", False) != bool(
             self.unbound and rec.phase != "ready" and rec.gone_at is not None and (
                 late or rec.sent.get("out")))
             and not any(weight for table, weight in rec.sent.items() if table != "out")]
-        head, reach, fits, room = self.channel.head, Counter(), [], self.channel.room(RULE_PART)
-
-        def lines(held):  # as likely as it holds one: booked whole, what is never sent would fill the account
-            return min(1, held) * (head + max(1, held))
-        for rec in sorted(turned, key=lambda rec: rec.gone_at or 0):
-            out = not rec.sent.get("out", False)
-            more = self.host.reach(rec.id, out, self.unbound, len(self.backends))
-            room -= sum(lines(reach[proxy] + part) - lines(reach[proxy]) for proxy, part in more.items())
-            if room < 0:
-                self.short = True
-                break
-            reach.update(more)
-            fits.append((rec, out))
-        if len(fits) * 2 < len(turned) and self.channel.room(0.25) <= 0:
+        turned.sort(key=lambda rec: rec.gone_at or 0)
+        costs = {rec: self.host.reach(rec.id, not rec.sent.get("out"), self.unbound, len(self.backends))
+                 for rec in turned}
+        if sum(sum(each.values()) for each in costs.values()) + self.channel.head * len(self.unbound) > binds:
+            turned = [rec for rec in turned if rec.sent.get("out")]
+        fits, lines = self.channel.fitting(map(costs.get, turned), RULE_PART)
+        self.short = self.short or fits < len(turned)
+        if fits * 2 < len(turned) and self.channel.room(0.25) <= 0:
             return                                # else most would be heads
-        for rec, out in fits:
-            rec.sent["out"] = out
-            self.host.withdraw(rec.id, out)
-        for proxy, held in reach.items():
-            self._count(now, proxy, lines(held) - head)
+        for rec in turned[:fits]:
+            rec.sent["out"] = not rec.sent.get("out", False)
+            self.host.withdraw(rec.id, rec.sent["out"])
+        for proxy, number in lines.items():
+            self._count(now, proxy, number)
 
     def _levels(self, now, table, shares):
         sent = self.levels[table]
@@ -573,8 +536,8 @@
         """Joiners are bound in turn, as there is room: who waits long first, then who has most traffic."""
         if self.short or not self.unbound or self.channel.room(BIND_PART) < 0:
             return                                # asked at each answer: no walk of all that could bind none
-        soon = self.settings.get("drain_grace", SECOND) / 3  # an old table may hold what no list names here
-        order = {p: (min(since, now - soon), -self.proxies[p][1]) for p, (_, since) in self.unbound.items()}
+        soon = now - self.settings.get("drain_grace", SECOND) / 3  # an old table may hold what is not listed
+        order = {p: (min(since, soon), -self.proxies[p][1]) for p, (_, since) in self.unbound.items()}
         all(self._bind(now, proxy) for proxy in sorted(order, key=order.get))
 
     def _bind(self, now, proxy):
@@ -606,10 +569,10 @@
                 lines[new] = 1.0
                 self._order(now, self.proxies, self.host.weigh, table, new, 1.0)
 
-    def _order(self, now, proxies, call, *words):
+    def _order(self, now, proxies, call, *words, more=()):
         call(*words)
         for proxy in proxies:
-            self._count(now, proxy, 1)
+            self._count(now, proxy, 2 if proxy in more else 1)
 
     def _count(self, now, proxy, lines):
         """Books lines to the message that this reply sends a proxy; the first one asks for an answer."""
--- /dev/null
+++ b/tests/test_hands.py
@@ -0,0 +1,113 @@
+"""How the fleet is dealt into hands, and what that gains where the channel is slow."""
+from types import SimpleNamespace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from storm import SECOND, Storm
+
+from granitespool.channel import Channel
+from granitespool.routing.hands import LEAST, REDEAL, UNEVEN, Hands
+
+SLOW = {"lines_per_s": 800.0, "backlog_limit": 28000.0, "message_head": 3.0, "drain_grace": 36 * SECOND,
+        "proxies_expected": 1500, "planners": 5, "classes": [{"name": "a"}]}
+
+
+def channel_of(settings):
+    channel = Channel()
+    channel.new_settings(settings)
+    return channel
+
+
+def server(number, phase="ready", zones=3):
+    return SimpleNamespace(id=number, zone=f"z{number % zones}", kind=f"k{number % 2}", phase=phase,
+                           hand=None, sent={})
+
+
+@pytest.mark.parametrize("change, fleet, hands", [
+    ({}, 200, 12), ({}, 2000, 125), ({}, 30, 1), ({}, 33, 2),
+    ({"lines_per_s": 1e6}, 200, 1),                   # the channel carries whole tables
+    ({"lines_per_s": 16000.0}, 200, 1), ({"lines_per_s": 12000.0}, 200, 1), ({"lines_per_s": 4000.0}, 200, 3),
+    ({"planners": 230}, 200, 1),                      # few proxies a coordinator, whichever of them die
+    ({"planners": 1, "proxies_expected": 20}, 200, 1),
+    ({"drain_grace": None}, 200, 1), ({"lines_per_s": None}, 200, 1), ({"slices": 4}, 200, 1)])
+def test_hands_follow_the_channel(change, fleet, hands):
+    told = {name: value for name, value in {**SLOW, **change}.items() if value is not None}
+    assert Hands([]).wanted(told, channel_of(told), fleet) == hands
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.lists(st.sets(st.integers(0, 399), min_size=1, max_size=300), min_size=1, max_size=8))
+def test_each_ready_server_is_in_one_hand_and_hands_stay_even(fleets):
+    hands, servers = Hands(["z0", "z1", "z2"]), {number: server(number) for number in range(400)}
+    for ready in fleets:
+        for number, rec in servers.items():
+            rec.phase = "ready" if number in ready else "gone"
+        count = hands.count if hands.dealt_for / REDEAL <= len(ready) <= hands.dealt_for * REDEAL else None
+        hands.deal(SLOW, channel_of(SLOW), servers.values())
+        assert count in (None, hands.count)
+        held = [[rec for rec in servers.values() if rec.hand == hand] for hand in range(hands.count)]
+        assert sum(map(len, held)) == len(ready)
+        assert max(map(len, held)) <= UNEVEN * min(map(len, held)) + 1
+        assert hands.count == 1 or min(map(len, held)) >= LEAST / REDEAL / UNEVEN - 1
+
+
+def test_hands_hold_like_servers():
+    hands, servers = Hands(["z0"]), [server(number) for number in range(192)]
+    hands.deal(SLOW, channel_of(SLOW), servers)
+    for hand in range(hands.count):
+        held = [rec for rec in servers if rec.hand == hand]
+        assert {(zone, kind): sum(1 for rec in held if (rec.zone, rec.kind) == (zone, kind)) for zone, kind in
+                {(rec.zone, rec.kind) for rec in held}} == {
+                    (f"z{z}", f"k{k}"): pytest.approx(16 / 6, abs=1) for z in range(3) for k in range(2)}
+
+
+def test_joiners_share_the_tables_and_a_crowded_one_gets_a_copy():
+    hands, channel = Hands(["z0"]), channel_of({**SLOW, "backlog_limit": 100.0})
+    tables = [hands.join("z0", 1.0, channel) for _ in range(25)]
+    assert tables == [0] * 10 + [1] * 10 + [2] * 5  # ten users are half of the queue
+    for table in tables:
+        hands.left(table, 1.0)
+    assert not any(hands.loads.values()) and not any(hands.proxies.values())
+
+
+def slow_fleet(proxies, backends=200):
+    kinds = [{"name": "a", "promised_time": SECOND, "benefit": 1.0}]
+    storm = Storm(backends, 3, **{**SLOW, "classes": kinds})
+    for proxy in range(proxies):
+        storm.join(proxy)
+    return storm
+
+
+def test_a_slow_channel_binds_all_within_the_grace():
+    # With whole tables 300 proxies take 78 s of this channel
+    storm = slow_fleet(300)
+    storm.run(13)
+    assert not storm.coordinator.planner.unbound
+    held = [set(table) for table, _ in storm.holds.values()]
+    assert set().union(*held) == set(storm.ready) and max(map(len, held)) <= 200 // 12 + 1
+
+
+def test_a_release_of_half_the_fleet_leaves_no_table_without_its_part():
+    storm = slow_fleet(300)
+    storm.run(15)
+    for _ in range(5):
+        storm.release(24)
+        storm.run(4)
+    storm.run(40)
+    old = {f"s{n + 1}" for n in range(120)}
+    for table, _ in storm.holds.values():
+        assert len(table) >= 5 and not old & set(table)
+
+
+def test_one_coordinator_takes_the_proxies_of_the_dead():
+    # 1,200 more at once: shutting 24 drained servers out of each would alone be 42 s of the channel
+    storm = slow_fleet(300)
+    storm.run(13)
+    storm.release(24)
+    for proxy in range(300, 1500):
+        storm.join(proxy, standing=False)
+    storm.run(36)
+    assert len(storm.coordinator.planner.unbound) < 150
+    storm.run(8)
+    assert not storm.coordinator.planner.unbound
