--- a/granitespool/routing/hands.py
+++ b/granitespool/routing/hands.py
@@ -69,7 +69,7 @@
             return 1
         takers = min(expected, TAKES * -(-expected // max(1, settings.get("planners") or 1)))
         fixed = channel.head + 1 + len(settings.get("classes") or ())
-        lines = int(PART * channel.pace * grace / SECOND / takers) - fixed
+        lines = int(PART * channel.pace * grace / SECOND / takers - fixed)  # figures may be told as 3.0
         return 1 if lines >= fleet else max(1, fleet // max(LEAST, lines))
 
     def deal(self, settings, channel, backends):
--- a/tests/test_hands.py
+++ b/tests/test_hands.py
@@ -33,7 +33,10 @@
     ({"drain_grace": None}, 200, 1), ({"lines_per_s": None}, 200, 1), ({"slices": 4}, 200, 1)])
 def test_hands_follow_the_channel(change, fleet, hands):
     told = {name: value for name, value in {**SLOW, **change}.items() if value is not None}
-    assert Hands([]).wanted(told, channel_of(told), fleet) == hands
+    servers = [server(number) for number in range(fleet)]
+    dealt = Hands([])
+    dealt.deal(told, channel_of(told), servers)  # figures such as a head of 3.0 give no broken hands
+    assert dealt.count == hands and {rec.hand for rec in servers} == set(range(hands))
 
 
 @settings(max_examples=60, deadline=None, derandomize=True)
