--- a/granitespool/routing/hands.py
+++ b/granitespool/routing/hands.py
@@ -74,12 +74,15 @@
 
     def deal(self, settings, channel, backends):
         """Gives every ready backend its hand, and takes it from the others."""
+        # A list may name what is not there: who has not answered yet is in no hand as long as any has. Harm:
+        # a fleet of which few have answered is dealt anew once the others do.
         ready = [rec for rec in backends if rec.phase == "ready"]
+        ready = [rec for rec in ready if rec.proven] or ready
         anew = not self.dealt_for / REDEAL <= len(ready) <= self.dealt_for * REDEAL
         if anew:
             self.dealt_for, self.count = len(ready), self.wanted(settings, channel, len(ready))
         for rec in backends:
-            rec.hand = None if anew or rec.phase != "ready" else rec.hand
+            rec.hand = None if anew or rec.phase != "ready" or not rec.proven else rec.hand
         self.sizes, self.like = Counter(), Counter()
         for rec in ready:
             if rec.hand is not None:
--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -297,6 +297,7 @@
     def _prove(self, now, rec):
         if not rec.proven:
             rec.proven, rec.ramp_from = True, now
+            self.hands.deal(self.settings, self.channel, self.backends.values())
             self._flush(now, rec)
 
     def _probe(self, now, rec, at_once=False):
@@ -500,11 +501,10 @@
         # Who is bound in time, or for no more lines, needs nothing shut out
         binds = sum(self.lines[self.proxies[proxy][0]] + len(self.classes) + self.channel.head
                     for proxy in self.unbound)
-        late = (self.channel.waiting + binds) * SECOND > (
-            IN_TIME * self.settings.get("drain_grace", 0) * self.channel.pace)
+        late = (self.channel.waiting + binds) / self.channel.pace * SECOND > IN_TIME * self.settings.get(
+            "drain_grace", 0)
         turned = [rec for rec in self.backends.values() if rec.sent.get("out", False) != bool(
-            self.unbound and rec.phase != "ready" and rec.gone_at is not None and (
-                late or rec.sent.get("out")))
+            self.unbound and rec.phase != "ready" and rec.gone_at is not None and (late or "out" in rec.sent))
             and not any(weight for table, weight in rec.sent.items() if table != "out")]
         turned.sort(key=lambda rec: rec.gone_at or 0)
         costs = {rec: self.host.reach(rec.id, not rec.sent.get("out"), self.unbound, len(self.backends))
--- a/tests/test_hands.py
+++ b/tests/test_hands.py
@@ -21,7 +21,7 @@
 
 def server(number, phase="ready", zones=3):
     return SimpleNamespace(id=number, zone=f"z{number % zones}", kind=f"k{number % 2}", phase=phase,
-                           hand=None, sent={})
+                           hand=None, sent={}, proven=True)
 
 
 @pytest.mark.parametrize("change, fleet, hands", [
@@ -55,6 +55,20 @@
         assert hands.count == 1 or min(map(len, held)) >= LEAST / REDEAL / UNEVEN - 1
 
 
+def test_a_list_that_names_what_is_not_there_deals_nothing_anew():
+    # 66 names beside 96 servers: all were dealt anew in the middle of a release, and half refused after
+    hands, servers = Hands(["z0"]), [server(number) for number in range(96)]
+    hands.deal(SLOW, channel_of(SLOW), servers)
+    held, named = [rec.hand for rec in servers], [server(number) for number in range(96, 162)]
+    for rec in named:
+        rec.proven = False
+    hands.deal(SLOW, channel_of(SLOW), servers + named)
+    assert [rec.hand for rec in servers] == held and not any(rec.hand is not None for rec in named)
+    named[0].proven = True
+    hands.deal(SLOW, channel_of(SLOW), servers + named)
+    assert named[0].hand is not None and named[1].hand is None
+
+
 def test_hands_hold_like_servers():
     hands, servers = Hands(["z0"]), [server(number) for number in range(192)]
     hands.deal(SLOW, channel_of(SLOW), servers)
