--- a/granitespool/channel.py
+++ b/granitespool/channel.py
@@ -8,6 +8,7 @@
 SECOND = 1_000_000_000  # ns
 UNTOLD = 2 * SECOND     # ns that a full queue takes where no pace or no limit is told: the usual one's
 NO_LIMIT = 1e9          # lines: stands for a queue, or a pace, without a limit
+MARK_LOST = 8           # full queues at the told pace after which a mark is lost: one eight times slowed
 EMPTY_PART = 0.94       # part that one order may take of an empty queue: what a leaving stream was just being
 #                         sent is passed on to its end, and is counted here no more
 
@@ -83,8 +84,13 @@
         while proxy in self.held:
             self._take(proxy)
 
-    def expire(self, before):
-        """Takes off what was ordered before a time."""
+    def takes(self, lines):
+        """The time until these have left as well, in ns, at the told pace."""
+        return (self.waiting + lines) / self.pace * SECOND
+
+    def expire(self, now):
+        """Takes off what has waited for too long to be on its way still."""
+        before = now - MARK_LOST * self.full
         for turn in [turn for turn in self.turns.values() if turn.at < before]:
             for proxy in list(turn.lines):
                 self._take(proxy)
--- a/granitespool/net/streams.py
+++ b/granitespool/net/streams.py
@@ -9,7 +9,7 @@
 from granitespool.net.loop import IN, OUT, SECOND
 from granitespool.settings import COUNT_MOST, MS, MS_MOST, BadInput, figure, load_map, need
 
-BACKLOG = 512             # connections the system holds for us: all proxies at once after a restart
+BACKLOG = 4096            # connections the system holds for us: all proxies at once after a restart
 ACCEPTS = 64              # connections taken in one turn: the others are served between
 READ_MOST = 256 * 1024    # bytes read from one party in one turn: twice what may stand unread
 UNSENT_MOST = 64 * 1024   # bytes of answers that wait for one party: who asks more and reads none is cut off
--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -1,8 +1,7 @@
 """All decisions of granitespool: one Planner for each coordinator instance.
 
-The adapter makes Planner(host, now, seed, settings) when an instance starts, then calls one method for each
-thing that happens, with the batch clock `now` in whole nanoseconds; the planner acts by calling the host at
-once. The host's calls and settings' names stand in granitespool/host.py, the mechanism in docs/design.md."""
+Made when an instance starts; then one method is called for each thing that happens, with the batch clock in
+whole nanoseconds, and it acts by calling the host at once (granitespool/host.py; docs/design.md)."""
 import math
 from collections import Counter, defaultdict, deque
 from random import Random
@@ -49,8 +48,7 @@
 SLOW_LAG = 0.6          # part of the told time of a full queue: a mark that took more shows a slow channel
 SLOW_PART = 0.2         # part that moves may fill then: a drain must not wait behind them
 BIND_PART = 0.35        # part of the queue that binds may fill: drains need the rest
-IN_TIME = 0.5           # part of the drain's grace within which all joiners must be bound, or are shut out of
-MARK_LOST = 8           # full queues at the told pace after which a mark is lost: one eight times slowed
+IN_TIME = 0.5           # part of the drain's grace: who is bound within it needs nothing shut out
 DOUBT = 3 * SECOND      # ns that a remembered strain holds unless it is met: reports of the first two seconds
 REMEMBERED = "phase", "zone", "kind", "listed", "started", "gone_at", "ramp_from", "proven", "missing"
 MET = "tries", "failed", "answered", "time", "over", "streak", "cut_at", "ramp_from"  # of a link
@@ -193,7 +191,7 @@
             lost = rec.phase == "gone" and not any(rec.sent.values())
             if lost and now - max(rec.gone_at or 0, rec.seen_at) > GONE_KEPT:
                 self.host.forget(self.backends.pop(rec.id).id)  # the one place; no table or shut-out names it
-        self.channel.expire(now - MARK_LOST * self.channel.full)
+        self.channel.expire(now)
         self._flush(now)
 
     def _cost(self, now, rec, link):
@@ -430,7 +428,8 @@
             return self._keep_slices(now)
         before, touched, held, left = self.channel.serial, set(), now < self.next_alarm and not merging, 1
         self.short = self.later = False           # later: something is held back for the next alarm
-        self._shut_out(now)
+        if not only:
+            self._shut_out(now)
         moves = sorted(self._moves(now, only, held))
         rule = sum(len(self.users[move[3]]) for move in moves if not move[0])
         # Who is not bound keeps a jam up by another's table: moves make room. Harm: weights stand still then.
@@ -451,7 +450,8 @@
             self._order(now, users, self.host.weigh, table, rec.id, want, more=back)
             self.lines[table] += bool(want) - bool(rec.sent.get(table))
             rec.sent[table] = want
-        self._shut_out(now)
+        if not only:
+            self._shut_out(now)
         shares = () if only or held else self._shares()
         for table in sum(self.tables.values(), []):
             cost = len(self.users[table]) * (len(self.classes) + self.channel.head)
@@ -498,20 +498,20 @@
             self.shut_at = now
             for rec in self.backends.values():
                 rec.sent.pop("out", None)
-        # Who is bound in time, or for no more lines, needs nothing shut out
-        binds = sum(self.lines[self.proxies[proxy][0]] + len(self.classes) + self.channel.head
-                    for proxy in self.unbound)
-        late = (self.channel.waiting + binds) / self.channel.pace * SECOND > IN_TIME * self.settings.get(
-            "drain_grace", 0)
+        work = sum(self.lines[self.proxies[proxy][0]] + len(self.classes) + self.channel.head
+                   for proxy in self.unbound)
+        late = self.channel.takes(work) > IN_TIME * self.settings.get("drain_grace", 0)
         turned = [rec for rec in self.backends.values() if rec.sent.get("out", False) != bool(
             self.unbound and rec.phase != "ready" and rec.gone_at is not None and (late or "out" in rec.sent))
             and not any(weight for table, weight in rec.sent.items() if table != "out")]
         turned.sort(key=lambda rec: rec.gone_at or 0)
-        costs = {rec: self.host.reach(rec.id, not rec.sent.get("out"), self.unbound, len(self.backends))
-                 for rec in turned}
-        if sum(sum(each.values()) for each in costs.values()) + self.channel.head * len(self.unbound) > binds:
+        def reach(rec):
+            return self.host.reach(rec.id, not rec.sent.get("out"), self.unbound, len(self.backends))
+        outs = [rec for rec in turned if not rec.sent.get("out")]
+        each = sum(reach(outs[0]).values()) if outs else 0
+        if each * len(outs) + self.channel.head * min(each, len(self.unbound)) > work:
             turned = [rec for rec in turned if rec.sent.get("out")]
-        fits, lines = self.channel.fitting(map(costs.get, turned), RULE_PART)
+        fits, lines = self.channel.fitting(map(reach, turned), RULE_PART)
         self.short = self.short or fits < len(turned)
         if fits * 2 < len(turned) and self.channel.room(0.25) <= 0:
             return                                # else most would be heads
