All are dealt anew only when the fleet is three times as large or a third

Cause, by reading: 100 of 200 servers leaving a list (a zone, or a release's old half) is past a factor of 1.5, so all hands were dealt anew in the jam and again on return; tests/test_hands.py fails with 1.5.

--- a/granitespool/routing/hands.py
+++ b/granitespool/routing/hands.py
@@ -12,7 +12,8 @@
 TAKES = 4        # proxies' shares that one coordinator may have to carry: its own and three others'
 PART = 0.5       # part of what the channel carries within the grace that binding may take: drains need more
 LEAST = 16       # servers of a hand at least: with a third of them cut, those left still share evenly
-REDEAL = 1.5     # factor that the fleet's size must have moved by for all to be dealt anew: it has a price
+REDEAL = 3       # factor that the fleet's size must have moved by for all to be dealt anew: a zone lost must
+#                  not do it, nor a release whose old half has gone before the new one answers
 UNEVEN = 2       # times the smallest hand's size, and one more, that the largest may have: else one moves
 USERS_PART = 0.5  # part of the queue that one line to all users of a table may take
 
--- a/tests/test_hands.py
+++ b/tests/test_hands.py
@@ -69,6 +69,17 @@
     assert named[0].hand is not None and named[1].hand is None
 
 
+def test_neither_a_lost_zone_nor_its_return_deals_anew():
+    hands, servers = Hands(["z0"]), [server(number, zones=2) for number in range(200)]
+    hands.deal(SLOW, channel_of(SLOW), servers)
+    held = [rec.hand for rec in servers]
+    for phase in ("gone", "ready"):
+        for rec in servers[::2]:
+            rec.phase = phase
+        hands.deal(SLOW, channel_of(SLOW), servers)
+        assert [rec.hand for rec in servers[1::2]] == held[1::2]
+
+
 def test_hands_hold_like_servers():
     hands, servers = Hands(["z0"]), [server(number) for number in range(192)]
     hands.deal(SLOW, channel_of(SLOW), servers)
