--- a/granitespool/routing/hands.py
+++ b/granitespool/routing/hands.py
@@ -1,14 +1,17 @@
 """Hands: a fleet whose whole table the channel cannot carry to everyone is dealt among a zone's proxies.
 
-A coordinator may have to take the proxies of others that died, and each that joins has the drain's grace
-until the table it came with must be right. Where whole tables cannot be there by then, the fleet is dealt
-into hands of like servers and a table holds one of them: it costs its part of the lines, and so does a drain.
-One hand is the whole fleet, and then nothing is dealt. A table has copies where more proxies use it than one
-line could reach.
+The design's table holds the whole fleet. Where a coordinator's channel needs so long to carry that to its
+own proxies that it is outdated on arrival, the fleet is dealt into hands of like servers, and a table holds one
+of them: it costs its part of the lines, and so does a drain. A coordinator may have to take the proxies of
+others that died, and each that joins has the drain's grace until the table it came with must be right: that
+sizes the hands. One hand is the whole fleet, and then nothing is dealt. A table has copies where more proxies
+use it than one line could reach.
 """
 from collections import Counter
 
 SECOND = 1_000_000_000  # ns
+OUTDATED = 12 * SECOND  # ns that what was heard counts for in the planner's means (its KEEP): a table that
+#                         arrives later is made of what is forgotten
 TAKES = 4        # proxies' shares that one coordinator may have to carry: its own and three others'
 PART = 0.5       # part of what the channel carries within the grace that binding may take: drains need more
 LEAST = 16       # servers of a hand at least: with a third of them cut, those left still share evenly
@@ -68,8 +71,11 @@
         grace, expected = settings.get("drain_grace"), settings.get("proxies_expected")
         if not grace or not expected or not settings.get("lines_per_s") or settings.get("slices"):
             return 1
-        takers = min(expected, TAKES * -(-expected // max(1, settings.get("planners") or 1)))
+        share = -(-expected // max(1, settings.get("planners") or 1))
         fixed = channel.head + 1 + len(settings.get("classes") or ())
+        if (fleet + fixed) * share * SECOND <= OUTDATED * channel.pace:
+            return 1                              # the design's own tables: nothing is departed from
+        takers = min(expected, TAKES * share)
         lines = int(PART * channel.pace * grace / SECOND / takers - fixed)  # figures may be told as 3.0
         return 1 if lines >= fleet else max(1, fleet // max(LEAST, lines))
 
