--- a/granitespool/channel.py
+++ b/granitespool/channel.py
@@ -8,7 +8,8 @@
 SECOND = 1_000_000_000  # ns
 UNTOLD = 2 * SECOND     # ns that a full queue takes where no pace or no limit is told: the usual one's
 NO_LIMIT = 1e9          # lines: stands for a queue, or a pace, without a limit
-MARK_LOST = 8           # full queues at the told pace after which a mark is lost: one eight times slowed
+MARK_LOST = 16          # full queues at the told pace after which a mark is lost: a channel may be ten times
+#                         slower for a while, and what it holds must not be forgotten
 EMPTY_PART = 0.94       # part that one order may take of an empty queue: what a leaving stream was just being
 #                         sent is passed on to its end, and is counted here no more
 
--- a/granitespool/routing/hands.py
+++ b/granitespool/routing/hands.py
@@ -1,7 +1,7 @@
 """Hands: a fleet whose whole table the channel cannot carry to everyone is dealt among a zone's proxies.
 
 The design's table holds the whole fleet. Where a coordinator's channel needs so long to carry that to its
-own proxies that it is outdated on arrival, the fleet is dealt into hands of like servers, and a table holds one
+own proxies that it is outdated on arrival, the fleet is dealt into hands of like servers; a table holds one
 of them: it costs its part of the lines, and so does a drain. A coordinator may have to take the proxies of
 others that died, and each that joins has the drain's grace until the table it came with must be right: that
 sizes the hands. One hand is the whole fleet, and then nothing is dealt. A table has copies where more proxies
