--- a/granitespool/facade.py
+++ b/granitespool/facade.py
@@ -67,9 +67,9 @@
         elif what == "list_news":
             # A name that was not told before was shut out by nobody, or let back by who saw it return; one
             # told again as it was has not been out. Harm: a return between two such tellings is not seen.
-            known = {name: (rec.phase, rec.started) for name, rec in self.planner.backends.items()}
+            known = {name: rec.started for name, rec in self.planner.backends.items()}
             self.suspects |= {entry["backend"] for entry in met["entries"] if entry["phase"] != "ready" or
-                              entry["started"] > known.get(entry["backend"], ("", entry["started"]))[1]}
+                              entry["started"] > known.get(entry["backend"], entry["started"])}
         if what in AS_THEY_COME:
             self._guarded(getattr(self.planner, what), *met.values())
         else:
