An alarm to few keeps no gap; the channel's met pace bounds what is ordered ahead

Ruled out: turns (0.2 s of CPU a second at most), the list's age, unproven servers. Lines at fault: rules._flush (slow, next_alarm for all), _round (credit at the told pace). Change: the account keeps the pace met; credit, gap and ordinary moves follow it, moves wait 2 s at most; an alarm for a table of few goes at once while the channel is idle, or with a rule's message.

--- a/granitespool/channel.py
+++ b/granitespool/channel.py
@@ -14,11 +14,18 @@
 #                         sent is passed on to its end, and is counted here no more
 
 
+ANSWERS = 64            # answers that the met pace is a mean of: about half of a coordinator's proxies, since
+#                         one that stands still tells nothing of the channel
+WAY = SECOND // 2       # ns that a message may be on its way and applied in beyond the queue: tells of small
+#                         queues are mostly that, and no channel is slow for it
+
+
 class Turn:
-    __slots__ = ("serial", "at", "lines")
+    __slots__ = ("serial", "at", "lines", "ahead")
 
     def __init__(self, serial, at):
         self.serial, self.at, self.lines = serial, at, {}  # proxy -> lines of its message
+        self.ahead = {}                                    # proxy -> lines of its message and all before it
 
 
 class Channel:
@@ -26,6 +33,7 @@
         self.waiting, self.serial = 0, 0
         self.turns = {}          # mark -> Turn, oldest first; as long as any of its lines waits
         self.held = {}           # proxy -> its turns, oldest first
+        self.took = self.expected = 0.0  # ns that messages took, and would by the told pace: means
 
     def new_settings(self, settings):
         self.pace, self.limit = settings.get("lines_per_s", NO_LIMIT), settings.get("backlog_limit", NO_LIMIT)
@@ -33,9 +41,18 @@
         told = settings.get("lines_per_s") and settings.get("backlog_limit")
         self.full = int(SECOND * self.limit / self.pace) if told else UNTOLD  # ns that a full queue takes
 
-    def room(self, part):
-        """Lines that still fit into a part of the queue; an empty one takes nearly all, whatever the part."""
-        return (part if self.waiting else max(part, EMPTY_PART)) * self.limit - self.waiting
+    @property
+    def met(self):
+        """Lines a second that the channel carries by the answers met: at most the told pace."""
+        return self.pace * min(1.0, self.expected / self.took) if self.took else self.pace
+
+    def room(self, part, within=None):
+        """Lines that still fit into a part of the queue, and leave within a time (ns) at the met pace; an
+        empty queue takes nearly all, whatever the part."""
+        most = part * self.limit
+        if within is not None:
+            most = min(most, self.met * within / SECOND)
+        return (most if self.waiting else max(most, EMPTY_PART * self.limit)) - self.waiting
 
     def book(self, now, proxy, lines):
         """More lines in this turn's message to a proxy; True where the turn has no mark yet."""
@@ -50,6 +67,7 @@
             lines += self.head
         turn.lines[proxy] += lines
         self.waiting += lines
+        turn.ahead[proxy] = self.waiting
         return first
 
     def fitting(self, costs, part):
@@ -72,11 +90,16 @@
     def _serials(self):
         return ((self.serial + 1 + n) % SERIALS for n in range(SERIALS))
 
-    def answered(self, proxy, serial):
+    def answered(self, now, proxy, serial, took=None):
         """The proxy has applied all up to this mark, or at least its oldest (None); True if one waited."""
         turns = self.held.get(proxy, ())
-        if not turns or serial is not None and all(turn.serial != serial for turn in turns):
+        turn = next((turn for turn in turns if turn.serial == serial), None)
+        if not turns or serial is not None and turn is None:
             return False
+        if turn and took is not None:
+            told = WAY + turn.ahead[proxy] / self.pace * SECOND
+            self.took += (min(took, now - turn.at) - self.took) / ANSWERS
+            self.expected += (told - self.expected) / ANSWERS
         while self._take(proxy) not in (serial, None) and serial is not None:
             pass
         return True
--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -45,8 +45,9 @@
 ORDINARY = 0.15         # part of the channel's pace that ordinary changes may use: orders have a price
 HEADS = 0.15            # part of the channel's pace for heads of messages: sets the gap between flushes
 RULE_PART = 0.94        # part of the queue's limit that rule lines may fill: what joiners hold is a guess
-SLOW_LAG = 0.6          # part of the told time of a full queue: a mark that took more shows a slow channel
-SLOW_PART = 0.2         # part that moves may fill then: a drain must not wait behind them
+JOIN_PART = 0.2         # part that moves may fill while anyone is to be bound: binds go first
+AHEAD = 2 * SECOND      # ns at the met pace that ordinary moves may wait: a drain would wait behind them
+FEW = 8                 # a table that at most one in so many proxies uses: a message to all of them is cheap
 BIND_PART = 0.35        # part of the queue that binds may fill: drains need the rest
 IN_TIME = 0.5           # part of the drain's grace: who is bound within it needs nothing shut out
 DOUBT = 3 * SECOND      # ns that a remembered strain holds unless it is met: reports of the first two seconds
@@ -173,16 +174,14 @@
 
     def _round(self, now):
         self._costs(now)
-        for zone in self.tables:
-            for rec in self.backends.values():
-                rec.link(zone).fade(KEEP)
-        pace = self.channel.pace
+        pace = self.channel.met
         self.credit = min(self.credit + ORDINARY * pace * PERIOD / SECOND, SAVED * pace)
         self._strain(now)
         for rec in list(self.backends.values()):
             if rec.phase == "ready" and not rec.proven:
                 self._probe(now, rec)
             for zone, link in rec.links.items():
+                link.fade(KEEP)
                 if link.cut_at is not None:
                     self._probe(now, rec)
                     if not link.spare and now - link.cut_at >= UNHEARD_PERIODS * PERIOD:
@@ -351,7 +350,7 @@
             self.channel.left(proxy)
 
     def applied(self, now, proxy, serial, took):
-        if self.channel.answered(proxy, serial):
+        if self.channel.answered(now, proxy, serial, took):
             self.lag = self.lag if took is None else took
             self._bind_next(now)
 
@@ -430,17 +429,20 @@
         self.short = self.later = False           # later: something is held back for the next alarm
         if not only:
             self._shut_out(now)
-        moves = sorted(self._moves(now, only, held))
+        moves = sorted(self._moves(now, only))
+        few = len(self.proxies) // FEW if self.channel.room(1, PERIOD // 4) > 0 else 0
         rule = sum(len(self.users[move[3]]) for move in moves if not move[0])
         # Who is not bound keeps a jam up by another's table: moves make room. Harm: weights stand still then.
-        slow = self.unbound or self.lag > SLOW_LAG * self.channel.full
-        part = 0 if self.short else SLOW_PART if slow else 0.5
+        part = 0 if self.short else JOIN_PART if self.unbound else 0.5
         crowded = self.channel.room(RULE_PART) < rule / 2 and self.channel.room(0.5) < 0  # few: mostly heads
         for urgency, _, backend, table, want, ordinary in moves:
             rec, users = self.backends[backend], self.users[table]
             back = self.host.returns(users, table, rec.id) if want and not rec.sent.get(table) else {}
             cost = len(back) + len(users) * (1 if table in touched else 1 + self.channel.head)
-            room = self.channel.room(part if urgency else RULE_PART * (not crowded))
+            if urgency and held and (ordinary or table not in touched and len(users) > few):
+                self.later = True                 # an alarm to few keeps no gap where nothing waits
+                continue
+            room = self.channel.room(part, AHEAD) if urgency else self.channel.room(RULE_PART * (not crowded))
             if cost > max(0, room) or ordinary and cost > self.credit:
                 self.short = self.short or not urgency  # nothing else may use what frees until this fits
                 left = 4 if self.credit > cost and not self.unbound else left
@@ -455,7 +457,7 @@
         shares = () if only or held else self._shares()
         for table in sum(self.tables.values(), []):
             cost = len(self.users[table]) * (len(self.classes) + self.channel.head)
-            if shares and self.channel.room(0.5) > 0 and cost <= self.channel.room(RULE_PART):
+            if shares and self.channel.room(0.5, AHEAD) > 0 and cost <= self.channel.room(RULE_PART):
                 self._levels(now, table, shares)
         if self.channel.serial != before:
             self.flushed_at, limit = now, self.settings.get("messages_limit")
@@ -463,12 +465,12 @@
             self.next_flush = now + int(MESSAGE_ROOM * span / limit) if limit else 0
             if not held:
                 heads = len(self.proxies) * self.channel.head / HEADS / left
-                self.next_alarm = now + int(SECOND * heads / self.channel.pace)
+                self.next_alarm = now + int(SECOND * heads / self.channel.met)
         if self.later or left > 1 or self.short:
             self._flush_at(self.next_flush if self.short else self.next_alarm, now)
         self._bind_next(now)
 
-    def _moves(self, now, only, held):
+    def _moves(self, now, only):
         """Lines that differ from the wanted tables, ranked: a rule's by age, others by the weight moved."""
         self.bare = not any(rec.phase == "ready" and rec.proven for rec in self.backends.values())
         for rec, zone, table, holds in self.hands.lines_of((only,) if only else self.backends.values()):
@@ -479,9 +481,7 @@
             if want != sent and (rec.phase != "ready" or not self.lines[table]):
                 yield 0, (rec.gone_at or 0, table), rec.id, table, want, False
             elif want != sent and (alarm or not only and moved > RESEND * sent):
-                if held:
-                    self.later = True
-                elif want or self.lines[table] > 1:  # who comes in ranks by what it will carry
+                if want or self.lines[table] > 1:  # who comes in ranks by what it will carry
                     yield 1, -(moved if sent else rec.listed), rec.id, table, want, not alarm
 
     def _flush_at(self, when, now):
--- a/tests/storm.py
+++ b/tests/storm.py
@@ -36,9 +36,9 @@
                              {"name": "a", "promised_time": SECOND, "benefit": 1.0},
                              {"name": "b", "promised_time": SECOND, "benefit": 5.0}], **settings}
         self.coordinator = Coordinator(self.settings, 7, self.now)
-        self.queue, self.free_at, self.waits = deque(), 0.0, 0  # (leaves at, lines, proxy, mark)
+        self.queue, self.free_at, self.waits = deque(), 0.0, 0  # (leaves at, lines, proxy, mark, written at)
         self.joined, self.holds, self.most, self.answers = {}, {}, 0.0, True
-        self.names, self.zones = 0, zones
+        self.names, self.zones, self.means = 0, zones, {}
         self.ready = [self._name() for _ in range(backends)]
         self.lists("restored", [(name, "ready", 0) for name in self.ready])
 
@@ -83,10 +83,12 @@
         self.coordinator.report(self.now, "left", proxy=proxy)
 
     def hear(self, mean, failed=0.0, tries=20):
-        for name in self.ready:
+        """What all met: at each backend this mean, or its own of `means`."""
+        for number, name in enumerate(self.ready):
             for zone in set(self.joined.values()):
-                self.coordinator.report(self.now, "heard", zone=zone, backend=name, tries=tries,
-                                        failed=int(failed * tries), mean=mean, window=SECOND, load={})
+                self.coordinator.report(
+                    self.now, "heard", zone=zone, backend=name, tries=tries, failed=int(failed * tries),
+                    mean=self.means[number] if mean is None else mean, window=SECOND, load={})
         for kind in ("a", "b"):
             self.coordinator.report(self.now, "arrivals", proxy=0, grade=kind, number=tries * len(self.ready),
                                     unanswered=0, window=SECOND)
@@ -101,7 +103,7 @@
             lines += self.settings["message_head"]
             pace = self.settings["lines_per_s"] / self.slowed / SECOND
             self.free_at = max(self.free_at, self.now) + lines / pace
-            self.queue.append((self.free_at, lines, proxy, order["mark"]))
+            self.queue.append((self.free_at, lines, proxy, order["mark"], self.now))
             self.waits += lines
             self._held(proxy, order)
         booked = self.coordinator.planner.channel.waiting
@@ -111,10 +113,11 @@
         self.most = max(self.most, self.waits / self.settings["backlog_limit"])
         self.now += ahead
         while self.queue and self.queue[0][0] <= self.now:
-            _, lines, proxy, mark = self.queue.popleft()
+            _, lines, proxy, mark, since = self.queue.popleft()
             self.waits -= lines
             if self.answers and mark is not None:
-                self.coordinator.report(self.now, "applied", proxy=proxy, serial=mark, took=SECOND)
+                self.coordinator.report(self.now, "applied", proxy=proxy, serial=mark,
+                                        took=self.now - since)
 
     def _held(self, proxy, order):
         """The table that a proxy holds once it has applied what is on its way; and what it shuts out."""
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -5,6 +5,7 @@
 from storm import SECOND, Storm
 
 from granitespool.channel import SERIALS, Channel
+from granitespool.rules import AHEAD
 
 
 def account(limit=1000.0, pace=1000.0, head=3.0):
@@ -123,16 +124,54 @@
         storm.turn()
 
 
+def test_the_met_pace_follows_the_answers_and_not_who_stands_still():
+    channel = account(limit=10000.0)
+    for turn in range(40):  # 40 messages of 44 lines at a time, the channel four times slower than told
+        for proxy in range(40):
+            channel.book(turn, proxy, 40)
+        serial, now = channel.serial, turn + 10 * SECOND
+        for proxy in range(40):
+            channel.answered(now, proxy, serial, SECOND // 4 + int(44 * (proxy + 1) * SECOND / 250))
+    assert 0.2 < channel.met / channel.pace < 0.5
+    channel.book(99, 1, 10)
+    assert channel.room(0.5, 2 * SECOND) < 0.1 * channel.limit < channel.room(0.5)
+    channel = account(limit=10000.0)
+    for turn in range(40):
+        for proxy in range(40):
+            channel.book(turn, proxy, 10)
+        serial, now = channel.serial, turn + 60 * SECOND
+        for proxy in range(40):  # one of forty stands still for eight seconds, and one tells a wrong figure
+            took = {7: 8 * SECOND, 9: 0}.get(proxy, int(14 * (proxy + 1) * SECOND / 1000))
+            channel.answered(now, proxy, serial, took)
+    assert channel.met > 0.8 * channel.pace
+
+
+def test_on_a_slow_channel_ordinary_changes_leave_the_way_free_for_a_drain():
+    # join+vast 992765718771: 2,800 lines of ordinary changes were before a release's, 10 s of that channel
+    storm = Storm(40, 2, slowed=4.0, standing_lines=40, backlog_limit=12000.0)
+    for proxy in range(40):
+        storm.join(proxy)
+    storm.run(30)
+    waits = []
+    for second in range(30):
+        for backend in range(40):
+            storm.means[backend] = (20 + 15 * ((second // 3 + backend * 7) % 5)) * SECOND // 1000
+        storm.hear(None)
+        storm.run(1)
+        waits.append(storm.waits / 250)
+    assert max(waits[10:]) < 2 * AHEAD / SECOND
+
+
 def test_marks_lost_doubled_late_and_come_round():
     channel = account()
     assert channel.book(1, 1, 10) and not channel.book(1, 2, 10)
     assert channel.book(2, 1, 5)
     assert channel.waiting == 10 + 10 + 5 + 3 * 4
     first, second = channel.turns
-    assert channel.answered(1, second) and channel.waiting == 14  # the later mark stands for the earlier
-    assert not channel.answered(1, second) and not channel.answered(1, first)
-    assert not channel.answered(2, second) and not channel.answered(3, None)
-    assert channel.answered(2, None) and channel.waiting == 0 and not channel.turns
+    assert channel.answered(0, 1, second) and channel.waiting == 14  # the later mark stands for the earlier
+    assert not channel.answered(0, 1, second) and not channel.answered(0, 1, first)
+    assert not channel.answered(0, 2, second) and not channel.answered(0, 3, None)
+    assert channel.answered(0, 2, None) and channel.waiting == 0 and not channel.turns
     channel.serial = SERIALS - 1
     channel.book(3, 1, 1)
     for turn in range(SERIALS - 2):
