Moves go table by table: a message's head is paid once for all its lines

Line at fault: the sort of moves in rules._flush. Ruled out before: the channel's pace (900 met), list and probes (no server unproven). Change: among moves that no rule needs, the table that they change most goes first, with all its lines; the gap of the cap on messages is told by the account; the records' links are made where they are first met.

--- a/granitespool/channel.py
+++ b/granitespool/channel.py
@@ -7,6 +7,7 @@
 SERIALS = 65536         # marks are whole numbers under this
 SECOND = 1_000_000_000  # ns
 UNTOLD = 2 * SECOND     # ns that a full queue takes where no pace or no limit is told: the usual one's
+MESSAGES_SPAN = 10 * SECOND  # ns that messages to a proxy are counted over where it is not told: the usual
 NO_LIMIT = 1e9          # lines: stands for a queue, or a pace, without a limit
 MARK_LOST = 16          # full queues at the told pace after which a mark is lost: a channel may be ten times
 #                         slower for a while, and what it holds must not be forgotten
@@ -30,7 +31,7 @@
 
 class Channel:
     def __init__(self):
-        self.waiting, self.serial = 0, 0
+        self.waiting, self.serial, self.ordered = 0, 0, 0  # ordered: lines in all, heads with them
         self.turns = {}          # mark -> Turn, oldest first; as long as any of its lines waits
         self.held = {}           # proxy -> its turns, oldest first
         self.took = self.expected = 0.0  # ns that messages took, and would by the told pace: means
@@ -39,6 +40,8 @@
         self.pace, self.limit = settings.get("lines_per_s", NO_LIMIT), settings.get("backlog_limit", NO_LIMIT)
         self.head = 1 + settings.get("message_head", 0)  # of a message, its mark with it
         told = settings.get("lines_per_s") and settings.get("backlog_limit")
+        most, span = settings.get("messages_limit"), settings.get("messages_span", MESSAGES_SPAN)
+        self.message_gap = span / most if most else 0  # ns between a proxy's messages by their cap
         self.full = int(SECOND * self.limit / self.pace) if told else UNTOLD  # ns that a full queue takes
 
     @property
@@ -66,6 +69,7 @@
             self.held.setdefault(proxy, deque()).append(turn)
             lines += self.head
         turn.lines[proxy] += lines
+        self.ordered += lines
         self.waiting += lines
         turn.ahead[proxy] = self.waiting
         return first
--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -75,13 +75,10 @@
     def __init__(self, backend, now):
         self.id, self.zone, self.kind, self.phase, self.seen_at = backend, None, None, "gone", now
         self.listed, self.started, self.ramp_from, self.probed_at = 1.0, 0, None, -PERIOD
-        self.links, self.sent, self.hand = {}, {}, None  # hand: part of the fleet, where tables are dealt
+        self.links, self.sent, self.hand = defaultdict(Link), {}, None  # hand: where the fleet is dealt
         self.tried = self.missed = self.done = self.spent = 0.0
         self.missing, self.proven, self.gone_at = False, True, None  # gone by the list alone; answers; when
 
-    def link(self, zone):
-        return self.links.get(zone) or self.links.setdefault(zone, Link())
-
 
 class Planner:
     def __init__(self, host, now, seed, settings):
@@ -159,7 +156,7 @@
         for zone in self.tables:
             kinds = defaultdict(list)
             for rec in self.backends.values():
-                link = rec.link(zone)
+                link = rec.links[zone]
                 link.cost = self._cost(now, rec, link)
                 if link.cost is not None and rec.phase == "ready" and link.cut_at is None:
                     kinds[rec.kind].append(link.cost)
@@ -167,7 +164,7 @@
             costs = sum(kinds.values(), [])
             self.average[zone] = sum(costs) / len(costs) if costs else None
             for rec in self.backends.values():
-                link, like = rec.link(zone), kinds.get(rec.kind)
+                link, like = rec.links[zone], kinds.get(rec.kind)
                 if like:
                     cost = (link.cost or 0) * link.heard + sum(like) / len(like) * PRIOR
                     link.cost = cost / (link.heard + PRIOR)
@@ -253,7 +250,7 @@
         rec = self.backends.get(backend)
         if rec is None or tries <= 0:
             return
-        link = rec.link(self.hands.know(zone))
+        link = rec.links[self.hands.know(zone)]
         answered = max(0, tries - failed) if mean > 0 else 0
         if answered:
             self._prove(now, rec)
@@ -285,10 +282,10 @@
 
     def _cut(self, now, zone, rec):
         # Past the cap a server stays as a last resort: a few tries tell when it heals, or all weigh alike
-        ready = [each.link(zone) for each in self.backends.values()
+        ready = [each.links[zone] for each in self.backends.values()
                  if each.phase == "ready" and each.hand == rec.hand]
         out = sum(1 for each in ready if each.cut_at is not None and not each.spare)
-        link = rec.link(zone)
+        link = rec.links[zone]
         link.spare, link.cut_at = (out + 1) * CUT_SHARE > len(ready), now
 
     def _prove(self, now, rec):
@@ -374,7 +371,7 @@
             if rec.missing or not rec.proven:
                 self._probe(now, rec, True)
             for zone, met in links.items():
-                link = rec.link(zone)
+                link = rec.links[zone]
                 if not link.tries:
                     for key in MET:
                         setattr(link, key, met[key])
@@ -395,11 +392,11 @@
 
     slice_load = peer_said
 
-    def _cold(self, now, rec):
+    def cold(self, now, rec):
         return rec.ramp_from is not None and now - rec.started < self.settings.get("cold_time", 3 * RAMP_STEP)
 
     def _want(self, now, rec, zone):
-        link, average, part = rec.link(zone), self.average.get(zone), 1.0
+        link, average, part = rec.links[zone], self.average.get(zone), 1.0
         out = link.cut_at is not None and not link.spare or rec.sent.get("out")
         if out or rec.phase != "ready" or not (rec.proven or self.bare):
             return 0.0
@@ -410,7 +407,7 @@
                 part = min(part, least * 2.0 ** min(RAMP_DONE, (now - since) // pace))
         if link.cut_at is not None:
             part = min(part, LAST_RESORT)
-        if self._cold(now, rec):
+        if self.cold(now, rec):
             # In a storm of tries a quarter weight is many times a quarter of the work: a cold server gets its
             # part of what is answered. Harm: one that starts into a storm warms with little traffic.
             part *= self.through
@@ -429,7 +426,10 @@
         self.short = self.later = False           # later: something is held back for the next alarm
         if not only:
             self._shut_out(now)
-        moves = sorted(self._moves(now, only))
+        moves, brings = list(self._moves(now, only)), Counter()
+        for urgency, rank, _, table, _, _ in moves:  # a table's lines go together: one head
+            brings[table] += urgency and rank
+        moves.sort(key=lambda move: (move[0], move[0] and brings[move[3]], move))
         few = len(self.proxies) // FEW if self.channel.room(1, PERIOD // 4) > 0 else 0
         rule = sum(len(self.users[move[3]]) for move in moves if not move[0])
         # Who is not bound keeps a jam up by another's table: moves make room. Harm: weights stand still then.
@@ -460,9 +460,7 @@
             if shares and self.channel.room(0.5, AHEAD) > 0 and cost <= self.channel.room(RULE_PART):
                 self._levels(now, table, shares)
         if self.channel.serial != before:
-            self.flushed_at, limit = now, self.settings.get("messages_limit")
-            span = self.settings.get("messages_span", 10 * SECOND)
-            self.next_flush = now + int(MESSAGE_ROOM * span / limit) if limit else 0
+            self.flushed_at, self.next_flush = now, now + int(MESSAGE_ROOM * self.channel.message_gap)
             if not held:
                 heads = len(self.proxies) * self.channel.head / HEADS / left
                 self.next_alarm = now + int(SECOND * heads / self.channel.met)
@@ -476,8 +474,8 @@
         for rec, zone, table, holds in self.hands.lines_of((only,) if only else self.backends.values()):
             want, sent = self._want(now, rec, zone) if holds else 0.0, rec.sent.get(table, 0.0)
             less, moved = want < sent * (1 - RESEND), abs(want - sent)
-            cut = rec.link(zone).cut_at is not None
-            alarm = not want or not sent or less and (cut or self._cold(now, rec))
+            cut = rec.links[zone].cut_at is not None
+            alarm = not want or not sent or less and (cut or self.cold(now, rec))
             if want != sent and (rec.phase != "ready" or not self.lines[table]):
                 yield 0, (rec.gone_at or 0, table), rec.id, table, want, False
             elif want != sent and (alarm or not only and moved > RESEND * sent):
@@ -565,7 +563,7 @@
                 self._order(now, self.proxies, self.host.weigh, table, backend, 0.0)
             if not lines:
                 held = [b for own in self.slices.values() for b in own]
-                new = min(ready, key=lambda b: (self._cold(now, ready[b]), held.count(b)))
+                new = min(ready, key=lambda b: (self.cold(now, ready[b]), held.count(b)))
                 lines[new] = 1.0
                 self._order(now, self.proxies, self.host.weigh, table, new, 1.0)
 
