--- a/granitespool/facade.py
+++ b/granitespool/facade.py
@@ -18,6 +18,7 @@
 FIXED = "classes", "slices", "subscribe", "index"  # settings that what is kept here or there is built on
 REPORTS = frozenset(("list_news", "heard", "arrivals", "joined", "left", "applied", "probed", "peer_said",
                      "slice_given", "slice_line", "slice_load", "recalled"))
+RETURNING = 20 * 10**9  # ns after a ramp's begin for which a backend is shown as returning
 AS_THEY_COME = frozenset(("peer_said", "slice_load"))  # whose words the planner does not name
 
 
@@ -50,7 +51,7 @@
         self.tables, self.levels, self.withdrawn = {}, {}, set()
         self.suspects = frozenset()  # backends that some coordinator may have shut out
         self.users, self.loose = {}, {}  # table -> the proxies on it, in order; those that are on none
-        self.mark_now = None
+        self.mark_now, self.reports = None, 0  # reports: of what was met at a backend, in all
         self.queues = {PROBES: [], PEERS: [], REMARKS: [], GONE: []}
         self.planner = Planner(self, now, seed, settings)
 
@@ -58,6 +59,7 @@
         """What was met; `what` and the words of `met` are the planner's method and its parameters."""
         assert what in REPORTS, what
         self.now = max(self.now, now)
+        self.reports += what == "heard"
         if what == "joined":
             self._forget_party(met["proxy"])
             held = Party(self.suspects)
@@ -113,6 +115,38 @@
                    backend in self.withdrawn)
             for zone, tables in self.planner.tables.items() for link in (rec.links.get(zone),)})
 
+    def figures(self):
+        """What can be summed over coordinators: figures of now, and totals since the start."""
+        planner, channel = self.planner, self.planner.channel
+        links = [link for rec in planner.backends.values() for link in rec.links.values()]
+        return {"joined": len(planner.proxies), "unbound": len(planner.unbound), "waiting": channel.waiting,
+                "limit": channel.limit, "pace": channel.pace, "met": channel.met, "ordered": channel.ordered,
+                "lag": planner.lag, "strained": planner.strained, "room": planner.room,
+                "through": planner.through, "hands": planner.hands.count, "reports": self.reports,
+                "cut": sum(link.cut_at is not None and not link.spare for link in links),
+                "last_resort": sum(link.cut_at is not None and link.spare for link in links)}
+
+    def unusual(self, most):
+        """{backend: (why, tries, failed, weight)} of the backends that carry no ordinary part, those with
+        most tries of about the last second first, `most` of them; and how many more there are."""
+        found = {rec.id: (why, rec.tried, rec.missed, sum(weight for table, weight in rec.sent.items()
+                                                          if table != "out"))
+                 for rec in self.planner.backends.values() if (why := self._why(rec))}
+        order = sorted(found, key=lambda backend: -found[backend][1])
+        return {backend: found[backend] for backend in order[:most]}, max(0, len(order) - most)
+
+    def _why(self, rec):
+        ramps = [each.ramp_from for each in (rec, *rec.links.values()) if each.ramp_from is not None]
+        if rec.phase != "ready":
+            return rec.phase if rec.tried >= 0.5 or any(rec.sent.values()) else None
+        if rec.missing or not rec.proven:
+            return "missing" if rec.missing else "unproven"
+        if any(link.cut_at is not None for link in rec.links.values()):
+            return "cut"
+        if self.planner.cold(self.now, rec):
+            return "cold"
+        return "returning" if ramps and self.now - max(ramps) < RETURNING else None
+
     def joined_zones(self):
         """Zones that proxies have joined from."""
         used = {table for table, _ in self.planner.proxies.values()}
--- a/granitespool/net/discovery.py
+++ b/granitespool/net/discovery.py
@@ -23,7 +23,7 @@
 class Discovery:
     def __init__(self, loop, coordinator, log, config, uniform):
         self.loop, self.coordinator, self.log, self.uniform = loop, coordinator, log, uniform
-        self.where, self.index = config["discovery"], 0
+        self.where, self.index, self.told_at = config["discovery"], 0, loop.now
         self.addresses = {}          # of every backend listed and not yet forgotten; None: none was told
         self.named = False           # whether any list has named anyone
         self.news(config["known"])
@@ -50,7 +50,7 @@
                 continue
             entries.append(entry)
             self._address(entry["backend"], row.get("address"))
-        self.index = index
+        self.index, self.told_at = index, self.loop.now
         self.named = self.named or bool(self.addresses)
         if not self.named:
             return                   # the first list that names anyone is the one to start from
--- a/granitespool/net/service.py
+++ b/granitespool/net/service.py
@@ -57,6 +57,11 @@
         if self.operator and self.operator.managed:
             from granitespool.net.managing import Managing  # noqa: PLC0415 imported only where it is on
             self.managing = Managing(self, self.loop, self.log)
+        self.figures = None
+        if self.operator and self.operator.figures:
+            from granitespool.net.figures import Figures  # noqa: PLC0415 imported only where it is on
+            self.figures = Figures(self.loop, self.coordinator, self.log, self.operator.figures,
+                                   self.discovery)
         self.log.event("serving", listen="{}:{}".format(*config["listen"]))
 
     def with_room(self, config):
@@ -130,6 +135,8 @@
         operator = config.get("operator")
         if self.keeper and operator and operator.state:
             self.keeper.new_options(operator.state)
+        if self.figures and operator and operator.figures:
+            self.figures.options = operator.figures
         self.coordinator.new_settings(self.loop.now, config["settings"])
         for part in (self.discovery, self.probes, self.streams, *([self.peers] if self.peers else ())):
             part.new_config(config)
@@ -154,6 +161,8 @@
                 self._write(party)
             except Exception as error:  # what cannot be written to one party ends no other's service
                 self._failed(error)
+        if self.figures:
+            self.figures.turned(now)
         self.log.flush()
         return due
 
--- a/granitespool/operator.py
+++ b/granitespool/operator.py
@@ -60,6 +60,13 @@
     write: str = ""
 
 
+class Figures(msgspec.Struct, frozen=True, kw_only=True):
+    """[figures]: a line of the log each so often to count across coordinators (docs/fleet.md)."""
+
+    every_ms: Annotated[int, Meta(ge=100, le=600_000)] = 1_000
+    backends: Annotated[int, Meta(ge=0, le=4_096)] = 64
+
+
 class Operator(msgspec.Struct, frozen=True, kw_only=True):
     """The whole file; None for a section that is absent."""
 
@@ -67,6 +74,7 @@
     tls: Tls | None = None
     netconf: Netconf | None = None
     gnmi: Gnmi | None = None
+    figures: Figures | None = None
     users: dict[str, User] = {}
 
     @property
@@ -75,7 +83,7 @@
         return self.netconf is not None or self.gnmi is not None
 
 
-SECTIONS = {"state": State, "tls": Tls, "netconf": Netconf, "gnmi": Gnmi}
+SECTIONS = {"state": State, "tls": Tls, "netconf": Netconf, "gnmi": Gnmi, "figures": Figures}
 CERTIFICATES = "cn", "dns", "email", "uri", "sha256"  # what of a certificate a user may be known by
 WRITABLE = "*", "class", "zone", "channel", "permissions", "drain", "cold", "operator"  # of the YANG module
 FIXED = ("state", "folder"), ("netconf", "listen"), ("gnmi", "listen")  # keys that wait for a restart
@@ -111,6 +119,8 @@
         old, new = (getattr(each, section, None) for each in (before, now))
         if getattr(old, key, None) != getattr(new, key, None):
             waits.append(f"{section}.{key}")
+    if (getattr(before, "figures", None) is None) != (getattr(now, "figures", None) is None):
+        waits.append("figures")
     return waits
 
 
