In a storm a cold server gets what the rule lets pass by its warmth

Cause (join+vast 3, 5, 8, weights, tries and answered share printed each second): after six in ten were replaced a third to a half of all tries were answered for 15 s (through 0.29 to 0.6), while the middle answer time was calm. A cold server's ramp was scaled by that share, so new servers had a third of their part; the old, 7 or 4 of a hand's 17, had the rest and failed (479 tries, 366 missed at one of them), which kept the share low. Line at fault: rules._want, part *= self.through. Change: the part is scaled by the answered share, or, where that is more, is half of the told multiple at which a cold server falls times what it can do at its age by the told warm-up, times the answered share: pushed with all tries anew it is at half of the rule.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -24,7 +24,8 @@
 WHYS = "cold", "returning", "cut", "unproven", "missing", "draining", "gone"
 COLUMNS = (  # title, key of the row, how it is written
     ("joined", "joined", "6d"), ("unbound", "unbound", "7d"), ("queue", "queue", "5.2f"),
-    ("met", "met", "4.2f"), ("lines", "lines", "6.0f"), ("lag_s", "lag", "6.2f"), ("reports", "reports", "7d"),
+    ("met", "met", "4.2f"), ("lines", "lines", "6.0f"), ("lag_s", "lag", "6.2f"),
+    ("reports", "reports", "7d"),
     ("room", "room", "4.2f"), ("through", "through", "7.2f"), ("strained", "strained", "8d"),
     ("cut", "cut", "4d"), ("last", "last_resort", "4d"), ("list_s", "list", "6.1f"),
     ("turn_ms", "turn", "7.1f"), ("probes", "probes", "6d"))
--- a/granitespool/facade.py
+++ b/granitespool/facade.py
@@ -143,7 +143,7 @@
             return "missing" if rec.missing else "unproven"
         if any(link.cut_at is not None for link in rec.links.values()):
             return "cut"
-        if self.planner.cold(self.now, rec):
+        if self.planner.warm(self.now, rec) < 1:
             return "cold"
         return "returning" if ramps and self.now - max(ramps) < RETURNING else None
 
--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -39,6 +39,7 @@
 SHED_LEAST = 0.2        # share of the work that is always let in: what is heard must not run dry
 SHED_FLOOR = 0.1        # share of each class let in however low its benefit: the worst class counts too
 SHED_MOVE = 0.03        # step of a level that is worth a message
+GUARD = 0.5             # part of the told multiple of its work that a cold server is let have in a storm
 START_THROUGH = 0.3     # share of tries taken as answered by who starts among cold servers: a storm may be on
 LEAST_WEIGHT = 0.0001   # what rounding leaves of a weight above 0: a line must not vanish by it
 NO_LIMIT = 1e6          # transactions a second at a proxy that stand for letting in all
@@ -46,7 +47,7 @@
 HEADS = 0.15            # part of the channel's pace for heads of messages: sets the gap between flushes
 RULE_PART = 0.94        # part of the queue's limit that rule lines may fill: what joiners hold is a guess
 JOIN_PART = 0.2         # part that moves may fill while anyone is to be bound: binds go first
-AHEAD = 2 * SECOND      # ns at the met pace that ordinary moves may wait: a drain would wait behind them
+AHEAD = 2 * SECOND      # ns at the met pace that moves may wait in the channel: a drain would be behind them
 FEW = 8                 # a table that at most one in so many proxies uses: a message to all of them is cheap
 BIND_PART = 0.35        # part of the queue that binds may fill: drains need the rest
 IN_TIME = 0.5           # part of the drain's grace: who is bound within it needs nothing shut out
@@ -91,11 +92,10 @@
         self.lines, self.users = Counter(), defaultdict(dict)  # table -> its lines; proxies bound to it
         self.levels, self.slices = defaultdict(dict), {}  # table -> {class: as sent}; slice held -> lines
         self.flushed_at, self.later = -1, False
-        self.next_flush = self.next_alarm = self.flush_due = self.lag = self.shut_at = 0  # lag: of marks
+        self.next_flush = self.next_alarm = self.flush_due = self.lag = self.shut_at = self.doubt = 0
         self.credit = SAVED * settings.get("lines_per_s", 1e9)  # lines for ordinary changes
         self.short = self.listed_once = self.strained = self.bare = False  # short: a rule line waits
         self.through, self.room, self.asked = 1.0, 1.0, {}  # answered part of tries; let-in part; by class
-        self.doubt = 0                            # until when a remembered strain is believed unheard
         if settings.get("subscribe"):
             host.observe(True)
         host.wake(PERIOD, "round")
@@ -392,8 +392,10 @@
 
     slice_load = peer_said
 
-    def cold(self, now, rec):
-        return rec.ramp_from is not None and now - rec.started < self.settings.get("cold_time", 3 * RAMP_STEP)
+    def warm(self, now, rec):  # the part of its work that it can do by the told warm-up
+        share, whole = self.settings.get("cold_share", 0), self.settings.get("cold_time", 3 * RAMP_STEP)
+        age = 1 if rec.ramp_from is None else min(1, (now - rec.started) / max(1, whole))
+        return share + (1 - share) * age
 
     def _want(self, now, rec, zone):
         link, average, part = rec.links[zone], self.average.get(zone), 1.0
@@ -407,10 +409,10 @@
                 part = min(part, least * 2.0 ** min(RAMP_DONE, (now - since) // pace))
         if link.cut_at is not None:
             part = min(part, LAST_RESORT)
-        if self.cold(now, rec):
+        if (warm := self.warm(now, rec)) < 1:
             # In a storm of tries a quarter weight is many times a quarter of the work: a cold server gets its
-            # part of what is answered. Harm: one that starts into a storm warms with little traffic.
-            part *= self.through
+            # part of what is answered, or by its warmth what the rule lets pass. Harm: it warms with less.
+            part = min(part, self.through * max(part, GUARD * self.settings.get("fall_multiple", 0) * warm))
             average = min(average or 0, link.cost or 0)  # an idle cold server answers fast: no more for that
         cost = average / link.cost if average and link.cost else 1.0
         return max(LEAST_WEIGHT, round(rec.listed * cost * part, 4))
@@ -475,7 +477,7 @@
             want, sent = self._want(now, rec, zone) if holds else 0.0, rec.sent.get(table, 0.0)
             less, moved = want < sent * (1 - RESEND), abs(want - sent)
             cut = rec.links[zone].cut_at is not None
-            alarm = not want or not sent or less and (cut or self.cold(now, rec))
+            alarm = not want or not sent or less and (cut or self.warm(now, rec) < 1)
             if want != sent and (rec.phase != "ready" or not self.lines[table]):
                 yield 0, (rec.gone_at or 0, table), rec.id, table, want, False
             elif want != sent and (alarm or not only and moved > RESEND * sent):
@@ -563,7 +565,7 @@
                 self._order(now, self.proxies, self.host.weigh, table, backend, 0.0)
             if not lines:
                 held = [b for own in self.slices.values() for b in own]
-                new = min(ready, key=lambda b: (self.cold(now, ready[b]), held.count(b)))
+                new = min(ready, key=lambda b: (self.warm(now, ready[b]) < 1, held.count(b)))
                 lines[new] = 1.0
                 self._order(now, self.proxies, self.host.weigh, table, new, 1.0)
 
