--- a/granitespool/routing/hands.py
+++ b/granitespool/routing/hands.py
@@ -1,11 +1,12 @@
 """Hands: a fleet whose whole table the channel cannot carry to everyone is dealt among a zone's proxies.
 
 The design's table holds the whole fleet. Where a coordinator's channel needs so long to carry that to its
-own proxies that it is outdated on arrival, the fleet is dealt into hands of like servers; a table holds one
-of them: it costs its part of the lines, and so does a drain. A coordinator may have to take the proxies of
-others that died, and each that joins has the drain's grace until the table it came with must be right: that
-sizes the hands. One hand is the whole fleet, and then nothing is dealt. A table has copies where more proxies
-use it than one line could reach.
+own proxies that it is outdated on arrival, or that a drain's grace is over before (its own proxies come back
+all at once after its restart, and what was on its way to them is lost), the fleet is dealt into hands of like
+servers; a table holds one of them: it costs its part of the lines, and so does a drain. A coordinator may
+have to take the proxies of others that died, and each that joins has the drain's grace until the table it
+came with must be right: that sizes the hands. One hand is the whole fleet, and then nothing is dealt. A table
+has copies where more proxies use it than one line could reach.
 """
 from collections import Counter
 
@@ -73,7 +74,7 @@
             return 1
         share = -(-expected // max(1, settings.get("planners") or 1))
         fixed = channel.head + 1 + len(settings.get("classes") or ())
-        if (fleet + fixed) * share * SECOND <= OUTDATED * channel.pace:
+        if (fleet + fixed) * share * SECOND <= min(OUTDATED, grace) * channel.pace:
             return 1                              # the design's own tables: nothing is departed from
         takers = min(expected, TAKES * share)
         lines = int(PART * channel.pace * grace / SECOND / takers - fixed)  # figures may be told as 3.0
