Joiners are told recent drains sooner; a restart tells those of its first list

Change: joiners wait a sixth of the grace for each other, not a third; only what drained within two graces is told again, newest first; what drains in the first list counts as just told. Found by reading on the way: a server whose shut-out was to be told again, and that returned just then, was shut out by its own line; told to some is a state of its own now.

--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -51,6 +51,8 @@
 FEW = 8                 # a table that at most one in so many proxies uses: a message to all of them is cheap
 BIND_PART = 0.35        # part of the queue that binds may fill: drains need the rest
 IN_TIME = 0.5           # part of the drain's grace: who is bound within it needs nothing shut out
+TOGETHER = 1 / 6        # part of the grace that joiners wait for others, to be told at once what is shut out
+KEPT = 2                # graces after which a drain needs no telling: who had the joiners before has kept it
 DOUBT = 3 * SECOND      # ns that a remembered strain holds unless it is met: reports of the first two seconds
 REMEMBERED = "phase", "zone", "kind", "listed", "started", "gone_at", "ramp_from", "proven", "missing"
 MET = "tries", "failed", "answered", "time", "over", "streak", "cut_at", "ramp_from"  # of a link
@@ -74,11 +76,11 @@
 
 class Backend:  # the one record of a backend
     def __init__(self, backend, now):
-        self.id, self.zone, self.kind, self.phase, self.seen_at = backend, None, None, "gone", now
+        self.id, self.zone, self.kind, self.phase = backend, None, None, "gone"
         self.listed, self.started, self.ramp_from, self.probed_at = 1.0, 0, None, -PERIOD
         self.links, self.sent, self.hand = defaultdict(Link), {}, None  # hand: where the fleet is dealt
         self.tried = self.missed = self.done = self.spent = 0.0
-        self.missing, self.proven, self.gone_at = False, True, None  # gone by the list alone; answers; when
+        self.missing, self.proven, self.gone_at = False, True, now  # gone by the list alone; answers; when
 
 
 class Planner:
@@ -86,15 +88,14 @@
         self.host, self.jitter, self.channel = host, Random(seed).uniform, Channel()
         self.new_settings(now, settings)
         self.backends, self.proxies, self.average = {}, {}, {}  # id -> Backend, (table, rate); zone -> ns
-        self.unbound = {}                         # proxy yet to be bound -> (others' lines it holds, since)
+        self.unbound, self.flushed_at = {}, -1    # proxy yet to be bound -> (others' lines it holds, since)
         self.hands = Hands(settings.get("zones") or [])
         self.tables = self.hands.tables           # zone -> its tables, one for each hand of the fleet
         self.lines, self.users = Counter(), defaultdict(dict)  # table -> its lines; proxies bound to it
         self.levels, self.slices = defaultdict(dict), {}  # table -> {class: as sent}; slice held -> lines
-        self.flushed_at, self.later = -1, False
         self.next_flush = self.next_alarm = self.flush_due = self.lag = self.shut_at = self.doubt = 0
         self.credit = SAVED * settings.get("lines_per_s", 1e9)  # lines for ordinary changes
-        self.short = self.listed_once = self.strained = self.bare = False  # short: a rule line waits
+        self.short = self.later = self.listed_once = self.strained = self.bare = False
         self.through, self.room, self.asked = 1.0, 1.0, {}  # answered part of tries; let-in part; by class
         if settings.get("subscribe"):
             host.observe(True)
@@ -121,7 +122,6 @@
         rec = self.backends.get(backend)
         if rec is None:
             rec = self.backends[backend] = Backend(backend, now)
-            rec.gone_at = now if self.listed_once else None  # a former life shut out what its last list told
         # Where only a drain binds, a probe checks a list that drops a server: it may be old or wrong. Harm:
         # one that died is kept until the probe, or the reports, tell.
         rec.missing = phase == "gone" and rec.phase == "ready" and self.settings.get("drain_needs_entry")
@@ -184,8 +184,7 @@
                     if not link.spare and now - link.cut_at >= UNHEARD_PERIODS * PERIOD:
                         rec.links[zone] = Link()
                         rec.links[zone].ramp_from = now
-            lost = rec.phase == "gone" and not any(rec.sent.values())
-            if lost and now - max(rec.gone_at or 0, rec.seen_at) > GONE_KEPT:
+            if rec.phase == "gone" and not any(rec.sent.values()) and now - rec.gone_at > GONE_KEPT:
                 self.host.forget(self.backends.pop(rec.id).id)  # the one place; no table or shut-out names it
         self.channel.expire(now)
         self._flush(now)
@@ -399,7 +398,7 @@
 
     def _want(self, now, rec, zone):
         link, average, part = rec.links[zone], self.average.get(zone), 1.0
-        out = link.cut_at is not None and not link.spare or rec.sent.get("out")
+        out = link.cut_at is not None and not link.spare or rec.sent.get("out", False) is not False
         if out or rec.phase != "ready" or not (rec.proven or self.bare):
             return 0.0
         for since in (rec.ramp_from, link.ramp_from):
@@ -479,7 +478,7 @@
             cut = rec.links[zone].cut_at is not None
             alarm = not want or not sent or less and (cut or self.warm(now, rec) < 1)
             if want != sent and (rec.phase != "ready" or not self.lines[table]):
-                yield 0, (rec.gone_at or 0, table), rec.id, table, want, False
+                yield 0, (rec.gone_at, table), rec.id, table, want, False
             elif want != sent and (alarm or not only and moved > RESEND * sent):
                 if want or self.lines[table] > 1:  # who comes in ranks by what it will carry
                     yield 1, -(moved if sent else rec.listed), rec.id, table, want, not alarm
@@ -493,32 +492,33 @@
     def _shut_out(self, now):
         """Proxies not bound yet go on with tables of others: what drains or is gone is shut out of those too,
         once its lines have left the tables here; again for who joined since, well within the grace."""
-        late = [since for _, since in self.unbound.values() if since >= self.shut_at]
-        if late and now - min(late) >= self.settings.get("drain_grace", SECOND) / 3:
-            self.shut_at = now
-            for rec in self.backends.values():
-                rec.sent.pop("out", None)
+        grace, turned = self.settings.get("drain_grace", SECOND), []
+        waits = max((now - since for _, since in self.unbound.values() if since >= self.shut_at), default=0)
+        self.shut_at = now if waits >= TOGETHER * grace else self.shut_at
         work = sum(self.lines[self.proxies[proxy][0]] + len(self.classes) + self.channel.head
                    for proxy in self.unbound)
         late = self.channel.takes(work) > IN_TIME * self.settings.get("drain_grace", 0)
-        turned = [rec for rec in self.backends.values() if rec.sent.get("out", False) != bool(
-            self.unbound and rec.phase != "ready" and rec.gone_at is not None and (late or "out" in rec.sent))
-            and not any(weight for table, weight in rec.sent.items() if table != "out")]
-        turned.sort(key=lambda rec: rec.gone_at or 0)
-        def reach(rec):
-            return self.host.reach(rec.id, not rec.sent.get("out"), self.unbound, len(self.backends))
-        outs = [rec for rec in turned if not rec.sent.get("out")]
+        order = sorted(self.backends.values(), key=lambda rec: (max(rec.gone_at, self.shut_at), -rec.gone_at))
+        for rec in order:
+            out, recent = rec.sent.get("out", False), now - rec.gone_at < KEPT * grace
+            if out and recent and waits >= TOGETHER * grace:
+                out = rec.sent["out"] = None      # not told to all
+            want = recent and (late or "out" in rec.sent) or out
+            want = bool(want and self.unbound and rec.phase != "ready")
+            if out != want and not any(weight for table, weight in rec.sent.items() if table != "out"):
+                turned.append((rec, want))
+        def reach(each):
+            return self.host.reach(each[0].id, each[1], self.unbound, len(self.backends))
+        outs = [each for each in turned if each[1]]
         each = sum(reach(outs[0]).values()) if outs else 0
         if each * len(outs) + self.channel.head * min(each, len(self.unbound)) > work:
-            turned = [rec for rec in turned if rec.sent.get("out")]
+            turned = [each for each in turned if not each[1]]
         fits, lines = self.channel.fitting(map(reach, turned), RULE_PART)
         self.short = self.short or fits < len(turned)
-        if fits * 2 < len(turned) and self.channel.room(0.25) <= 0:
-            return                                # else most would be heads
-        for rec in turned[:fits]:
-            rec.sent["out"] = not rec.sent.get("out", False)
+        fits *= fits * 2 >= len(turned) or self.channel.room(0.25) > 0  # else most would be heads
+        for rec, rec.sent["out"] in turned[:fits]:
             self.host.withdraw(rec.id, rec.sent["out"])
-        for proxy, number in lines.items():
+        for proxy, number in lines.items() if fits else ():
             self._count(now, proxy, number)
 
     def _levels(self, now, table, shares):
