--- a/granitespool/net/client.py
+++ b/granitespool/net/client.py
@@ -39,10 +39,14 @@
 
 
 def receive(sock, due):
-    """Some bytes, b"" at the end of the connection."""
+    """Some bytes, b"" at the end of the connection. Who sends without end leaves the others their turns."""
     while True:
         try:
-            return sock.recv(READ)
+            data = sock.recv(READ)
         except BlockingIOError:
             if not (yield sock.fileno(), IN, due):
                 raise TimeoutError("silent") from None
+            continue
+        if len(data) == READ:
+            yield sock.fileno(), OUT, due
+        return data
--- a/granitespool/net/config.py
+++ b/granitespool/net/config.py
@@ -6,7 +6,9 @@
 
 SOCKETS = 1024     # descriptors where no limit is told: the platform's largest
 MEMORY_MB = 192    # MB where no limit is told: the platform's largest
-OTHERS = 16        # descriptors for standard streams, the loop, the listener, datagrams, the watch, a file
+SOCKETS_LEAST = 25  # descriptors under which nobody is served: the others, a probe and some connections
+OTHERS = 16        # descriptors for standard streams, the loop, the listener, datagrams, the watch, a file,
+#                    and a few strangers where those who joined hold all places
 PROBES_PART = 8    # one descriptor in so many is for probes: a server each of the smallest limit's fleet
 PROBES_MOST = 64   # probes in the air at most: more tell nothing sooner
 BUFFERS_PART = 4   # one byte in so many of the memory may be receive buffers: the program takes half of 32 MB
@@ -24,6 +26,8 @@
     """What the limits leave to each part: connections, probes in the air, receive buffers."""
     limits = {"type": "limits", "sockets": SOCKETS, "memory_mb": MEMORY_MB, **limits}
     sockets = figure(limits, "sockets", int)
+    if sockets < SOCKETS_LEAST or figure(limits, "memory_mb") < 1:
+        raise BadInput(f"the limits leave no room to serve: {SOCKETS_LEAST} sockets and 1 MB are the least")
     probes = min(PROBES_MOST, sockets // PROBES_PART)
     return {"sockets": sockets, "probes": max(1, probes), "connections": max(8, sockets - OTHERS - probes),
             "buffers": int(figure(limits, "memory_mb")) * (1 << 20) // BUFFERS_PART // SIZE}
--- a/granitespool/net/discovery.py
+++ b/granitespool/net/discovery.py
@@ -9,10 +9,13 @@
 from granitespool.net.client import ask, dial, receive
 from granitespool.net.config import address
 from granitespool.net.loop import SECOND
-from granitespool.settings import SOCKETS, BadInput, list_entry, need
+from granitespool.settings import MS, SOCKETS, BadInput, figure, list_entry, need
 
 DIAL = SECOND                # ns for a connection to come up: the agent is on this machine
 BEAT = 9 * SECOND // 4       # ns without a byte after which a watch is dead: an empty line comes every 2 s
+LINE = 4 * BEAT              # ns within which a line has to end: what is to be told counts as told after 6 s
+REASK = SECOND               # ns until what could not be read is asked for again, the first time
+REASK_MOST = 60 * SECOND     # ns between two such askings at most: an entry may stay wrong for good
 WAIT_FIRST = SECOND // 20    # ns before the first new dialling
 WAIT_MOST = SECOND           # ns between diallings at most: the agent answers at no cost
 GROWTH = 2                   # factor from one wait to the next
@@ -24,6 +27,9 @@
     def __init__(self, loop, coordinator, log, config, uniform):
         self.loop, self.coordinator, self.log, self.uniform = loop, coordinator, log, uniform
         self.where, self.index, self.told_at = config["discovery"], 0, loop.now
+        self.heard_at = loop.now     # when a line came last, news or not
+        self.after, self.unread = 0, False  # version that is asked from; was anything since it not readable
+        self.first, self.reask, self.reask_at = True, REASK, 0  # is the next message a watch's first
         self.addresses = {}          # of every backend listed and not yet forgotten; None: none was told
         self.named = False           # whether any list has named anyone
         self.news(config["known"])
@@ -39,7 +45,11 @@
     def news(self, message):
         """Reports one message of the list; an entry that is wrong is left out."""
         message = {"type": "list", **message} if isinstance(message, dict) else {"type": "list"}
-        index, entries = need(message, "index", int), []
+        index, entries, unread = figure(message, "index", int), [], False
+        if index < self.index and not message.get("snapshot"):
+            # Against changes that another copy of discovery is late with: what is held is newer. A whole list
+            # stands for itself, whatever its version. Harm: none by the protocol, changes come in order.
+            return self.log.often("list_older", index=index, held=self.index)
         form, first = "whole" if message.get("snapshot") else "changes", not self.named
         for row in need(message, "endpoints", list):
             try:
@@ -47,10 +57,12 @@
             except BadInput as error:
                 self.log.often("entry_dropped", why=str(error))
                 form = "changes"     # what cannot be read is not gone: nobody leaves by being left out
+                unread = True
                 continue
             entries.append(entry)
             self._address(entry["backend"], row.get("address"))
         self.index, self.told_at = index, self.loop.now
+        self._read_up_to(index, unread)
         self.named = self.named or bool(self.addresses)
         if not self.named:
             return                   # the first list that names anyone is the one to start from
@@ -60,6 +72,20 @@
             self.coordinator.report(self.loop.now, "list_news", form=form, entries=entries)
         self.log.event("list", form=form, index=index, entries=len(entries))
 
+    def _read_up_to(self, index, unread):
+        """Keeps the version to ask from: that before the first entry that could not be read, until a watch
+        from there has told it again and all of it was readable."""
+        if self.first or not self.unread:
+            if unread and not self.unread:
+                self.reask = REASK
+            self.unread = unread
+            if unread:
+                self.reask_at = self.loop.now + self.reask
+                self.reask = min(REASK_MOST, 2 * self.reask)
+        if not self.unread:
+            self.after = index
+        self.first = False
+
     def forget(self, backend):
         self.addresses.pop(backend, None)
 
@@ -76,25 +102,32 @@
             try:
                 with socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK) as sock:
                     yield from dial(sock, self.where, self.loop.now + DIAL)
-                    http = yield from ask(sock, self.where, f"/discovery/hosts?watch=1&after={self.index}",
+                    http = yield from ask(sock, self.where, f"/discovery/hosts?watch=1&after={self.after}",
                                           self.loop.now + DIAL)
-                    waiting = b""
+                    waiting, self.first, whole_by = b"", True, self.loop.now + LINE
                     while (event := http.next_event()) is not None:
                         if event is h11.NEED_DATA:
-                            http.receive_data((yield from receive(sock, self.loop.now + BEAT)))
+                            if self.loop.now >= whole_by:
+                                raise BadInput("a line of the list did not end in time")
+                            http.receive_data((yield from receive(sock, min(self.loop.now + BEAT, whole_by))))
                         elif isinstance(event, h11.Response) and event.status_code != 200:
                             raise BadInput(f"the list's watch was answered {event.status_code}")
                         elif isinstance(event, h11.Data):
                             wait = WAIT_FIRST
                             *lines, waiting = (waiting + event.data).split(b"\n")
+                            if lines:
+                                self.heard_at, whole_by = self.loop.now, self.loop.now + LINE
                             for line in filter(bytes.strip, lines):
                                 self._line(line)
                             if len(waiting) > LINE_MOST:
                                 raise BadInput("a line of the list is over the limit")
+                            if self.unread and not self.first and self.loop.now >= self.reask_at:
+                                raise BadInput("what could not be read is asked for again")
                         elif isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
                             raise BadInput("the list's watch was ended")
             except Exception as error:  # whatever it is: without a watch the list would stand for ever
-                self.log.event("watch_ended", why=str(error), index=self.index)
+                self.log.event("watch_ended", why=str(error) or type(error).__name__, index=self.index,
+                               age_ms=(self.loop.now - self.heard_at) // MS)
             yield None, 0, self.loop.now + int(wait * self.uniform(*JITTER))
             wait = min(WAIT_MOST, wait * GROWTH)
 
--- a/granitespool/net/log.py
+++ b/granitespool/net/log.py
@@ -3,6 +3,8 @@
 Owns the descriptor it writes to only so far as its blocking mode, which `close` puts back."""
 import logging
 import os
+import select
+import time
 
 import orjson
 import structlog
@@ -11,6 +13,7 @@
 OFTEN = 20         # lines a second of one event that others can cause at will: enough to see who and why
 WORD = 2000        # characters of a value that are kept: a traceback's end
 MS = 1_000_000     # ns in a millisecond
+LAST = 0.1         # s that the last lines wait for their reader
 
 Bound = structlog.make_filtering_bound_logger(logging.NOTSET)  # every event is a line; it holds no state
 
@@ -72,5 +75,10 @@
             self.event("log_dropped", lines=dropped)
 
     def close(self):
+        """Writes the last lines; who reads slowly is waited for a moment, and who reads nothing no longer."""
+        poll, until = select.poll(), time.monotonic() + LAST
+        poll.register(self.fd, select.POLLOUT)
         self.flush()
+        while self.waiting and (left := until - time.monotonic()) > 0 and poll.poll(left * 1000):
+            self.flush()
         os.set_blocking(self.fd, self.blocking)
--- a/granitespool/net/loop.py
+++ b/granitespool/net/loop.py
@@ -12,7 +12,7 @@
 
 IN, OUT = select.EPOLLIN, select.EPOLLOUT
 SECOND = 1_000_000_000  # ns
-EVENTS = 1024           # events taken in one turn: all descriptors the limits allow
+EVENTS = 64             # events that room is made for beside one a descriptor: there is no cap on those
 IDLE = 60 * SECOND      # ns the loop sleeps at most: a bound for the system call alone
 
 
@@ -70,16 +70,19 @@
 
     def turn(self, end_of_turn, wait):
         """One turn, which waits for events for so many nanoseconds at most."""
-        events = self.epoll.poll(max(0, min(wait, IDLE)) / SECOND, EVENTS)
-        if not events:
-            # A wait that a stop of the process has outlasted comes back empty whatever has arrived meanwhile,
-            # and what then is due would take the other side for silent. What else it holds for: any lateness
-            # of our own. Harm: a system call more in a turn without events.
-            events = self.epoll.poll(0, EVENTS)
+        most = len(self.tasks) + EVENTS
+        events = self.epoll.poll(max(0, min(wait, IDLE)) / SECOND, most)
         self.now = max(self.clock(), self.now + 1)  # no two turns share a time: each is a message of its own
-        for fd, mask in events:
-            if fd in self.tasks:
-                self._resume(self.tasks[fd], mask)
+        if not events or self.timers and self.timers[0][0] <= self.now:
+            # Against a wait that is called over though what it waited for has come: events are older than the
+            # clock wherever the process was stopped or late between the two. Looked for after the clock was
+            # read, all that came before it is here, and goes first. Harm: a system call more where a timer is
+            # due.
+            events = self.epoll.poll(0, most)
+        # Whom each event is for, before any runs: one that runs may close a descriptor, and another open it.
+        for task, fd, mask in [(self.tasks.get(fd), fd, mask) for fd, mask in events]:
+            if task and self.tasks.get(fd) is task:
+                self._resume(task, mask)
             elif fd == self.bell:
                 os.eventfd_read(self.bell)
         while self.timers and self.timers[0][0] <= self.now:
@@ -133,7 +136,10 @@
     def end(self, task):
         """Ends a coroutine; what it owns is given back in its own `finally`."""
         self._forget(task)
-        task.run.close()
+        try:
+            task.run.close()
+        except Exception as error:  # its fault is not that of who ends it, nor of those that are ended next
+            self.failed(error)
 
     def close(self):
         for task in list(self.all):
--- a/granitespool/net/peers.py
+++ b/granitespool/net/peers.py
@@ -1,6 +1,7 @@
 """Datagrams between coordinators; owns the UDP socket."""
 import socket
 
+from granitespool.net.bind import bind
 from granitespool.net.loop import IN
 
 LONGEST = 256     # bytes of a datagram at most: the protocol's
@@ -12,7 +13,7 @@
         self.loop, self.coordinator, self.log = loop, coordinator, log
         self.new_config(config)
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
-        self.sock.bind(config["peer_listen"])
+        bind(self.sock, config["peer_listen"], log)
         loop.spawn(self._read())
 
     def new_config(self, config):
--- a/granitespool/net/service.py
+++ b/granitespool/net/service.py
@@ -10,7 +10,7 @@
 from granitespool.net.loop import Loop
 from granitespool.net.peers import Peers
 from granitespool.net.probes import Probes
-from granitespool.net.streams import Streams
+from granitespool.net.streams import LINGER, Streams
 from granitespool.settings import BadInput
 
 FIXED = "name", "listen", "peer_listen"  # what a new configuration cannot change while the service runs
@@ -21,7 +21,7 @@
     `reread` returns replaces the configuration that serves, or changes nothing by ending in BadInput."""
 
     def __init__(self, config, log_fd, clock=None, reread=None, mono=time.monotonic_ns):
-        self.reread, self.rereads, self.mono = reread, False, mono
+        self.reread, self.rereads, self.mono, self.stops = reread, False, mono, 0
         self.keeper = self.managing = None         # the state folder's, the managers', where they are on
         self.loop = Loop(self._failed, clock)
         self.log = Log(log_fd, self.loop.clock, name=config["name"])
@@ -185,18 +185,32 @@
     def run(self):
         try:
             self.loop.run(self._end_of_turn)
+            self._finish()
         finally:
             self.close()
 
+    def _finish(self):
+        """Everyone is told the end after what was ordered; who takes nothing is waited for a moment, and not
+        past a second stop. No decision is taken any more."""
+        until = self.loop.clock() + LINGER
+        self.streams.finish()
+        while self.streams.connections and self.stops < 2 and (left := until - self.loop.clock()) > 0:
+            self.loop.turn(self._last_turn, left)
+
+    def _last_turn(self, now):
+        self.log.flush()
+
     def turn(self, wait):
         """One turn, for who has a loop of its own; `wait` in ns."""
         self.loop.turn(self._end_of_turn, wait)
 
     def close(self):
-        if self.managing:
-            self.managing.close()
-        if self.keeper:
-            self.keeper.close()
+        for part in (self.managing, self.keeper):
+            try:
+                if part:
+                    part.close()
+            except Exception as error:  # what one part cannot give back must not keep the others from it
+                self._failed(error)
         self.log.event("stopped")
         self.loop.close()
         self.log.close()
@@ -207,4 +221,6 @@
         self.loop.wake()
 
     def stop(self):
+        """Ends `run`; may be called from a signal handler."""
+        self.stops += 1
         self.loop.stop()
--- a/granitespool/net/streams.py
+++ b/granitespool/net/streams.py
@@ -5,12 +5,14 @@
 import errno
 import socket
 
+from granitespool.net.bind import bind
 from granitespool.net.frames import LARGEST, PONG, Reader, frame, updates
 from granitespool.net.loop import IN, OUT, SECOND
 from granitespool.settings import COUNT_MOST, MS, MS_MOST, BadInput, figure, load_map, need
 
 BACKLOG = 4096            # connections the system holds for us: all proxies at once after a restart
 ACCEPTS = 64              # connections taken in one turn: the others are served between
+DROPPED = 16 * 1024       # bytes read at once of what nobody is to hear any more
 READ_MOST = 256 * 1024    # bytes read from one party in one turn: twice what may stand unread
 UNSENT_MOST = 64 * 1024   # bytes of answers that wait for one party: who asks more and reads none is cut off
 JOINING = 3 * SECOND // 2  # ns from accept to joining, whatever is sent meanwhile: a proxy joins at once
@@ -19,6 +21,8 @@
 UNHEARD = 6 * SECOND      # ns beyond a full channel's that a stream may bring nothing after an order
 SERIAL_MOST = 65535       # the highest mark: the protocol's
 FULL_WAIT = SECOND // 50  # ns between accepts while there is no room
+SPARE = 4                 # places for strangers beyond those who joined; from the descriptors kept for others
+LINGER = SECOND // 4      # ns that last words may take to be read: under half of a planned restart's 0.7 s
 
 
 def time(message, key):
@@ -31,11 +35,12 @@
 
 
 class Connection:
-    def __init__(self, sock, peer, pool, now):
+    def __init__(self, sock, peer, pool, now, number):
         self.sock, self.peer, self.reader, self.since = sock, peer, Reader(pool, FIRST_MOST), now
+        self.number = number                                   # how many were accepted before it
         self.role, self.proxy, self.unsent, self.task = "stranger", None, b"", None
         self.joining, self.asked, self.away = {}, None, False  # a proxy's words; asked when; is it silent
-        self.ours = False                                      # it is we who end it
+        self.ours = self.left = False                          # it is we who end it; its leaving is told
 
 
 class Streams:
@@ -45,11 +50,12 @@
         self.new_config(config)
         self.connections, self.strangers = {}, {}  # in order of age; those of them that have not joined
         self.proxies = {}                        # number -> its current stream
+        self.accepted, self.last_until = 0, None  # connections so far; when all end, once they are to
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind(config["listen"])
+        bind(self.listener, config["listen"], log)
         self.listener.listen(BACKLOG)
-        loop.spawn(self._accept())
+        self.accepting = loop.spawn(self._accept())
 
     def new_config(self, config):
         """Who has joined stays, whatever the new figures are; they hold for who comes from now on."""
@@ -66,7 +72,10 @@
             while True:
                 yield self.listener.fileno(), IN, None
                 for taken in range(ACCEPTS):
-                    if len(self.connections) >= self.most and not self._make_room():
+                    # Who comes while those who joined hold all places has one of a few more until it says who
+                    # it is: a flood of strangers must not cost a collector its place.
+                    full = len(self.connections) >= self.most and len(self.strangers) >= SPARE
+                    if full and not self._make_room():
                         yield None, 0, self.loop.now + FULL_WAIT
                         break
                     try:
@@ -78,7 +87,7 @@
                             continue  # gone before it was taken
                         # The system says so before it looks whether anyone waits: only the first time in a
                         # turn does somebody surely wait, and room must be made.
-                        if not taken and not self._make_room():
+                        if not taken and not (self._make_room() or self._give_up_collector()):
                             yield None, 0, self.loop.now + FULL_WAIT
                         break
                     try:
@@ -90,51 +99,72 @@
     def _take(self, sock, peer):
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = Connection(sock, peer, self.pool, self.loop.now)
+        connection = Connection(sock, peer, self.pool, self.loop.now, self.accepted)
+        self.accepted += 1
         self.connections[connection] = self.strangers[connection] = None
         connection.task = self.loop.spawn(self._serve(connection))
 
-    def _make_room(self, but=None):
-        """Gives up the oldest stranger, or where there is none the oldest collector; never a proxy's stream.
+    def _make_room(self, holding=False):
+        """Gives up the oldest stranger, of those that hold a buffer where one is sought.
         Against floods of strangers: they give way to who may be a proxy, but not before their own joining can
         have come. What else it holds for: all proxies at once. Harm: past so many at once, others wait."""
-        oldest = next((each for each in self.strangers if each is not but), None)
-        if oldest is None:
-            oldest = next((each for each in self.connections if each.role == "collector"), None)
-        elif self.loop.now - oldest.since < YOUNG:
+        oldest = next((each for each in self.strangers if each.reader.chain or not holding), None)
+        if oldest is None or self.loop.now - oldest.since < YOUNG:
             return False
-        if oldest is None or oldest is but:
-            return False
-        self.log.often("given_up", peer=oldest.peer, role=oldest.role)
-        self.loop.end(oldest.task)
+        return self._give_up(oldest)
+
+    def _give_up_collector(self, but=None, holding=False):
+        """Gives up the oldest collector, which dials again; never a proxy's stream."""
+        oldest = next((each for each in self.connections if each.role == "collector" and each is not but and
+                       (each.reader.chain or not holding)), None)
+        return oldest is not None and self._give_up(oldest)
+
+    def _give_up(self, connection):
+        self.log.often("given_up", peer=connection.peer, role=connection.role)
+        self.loop.end(connection.task)
         return True
 
     def _serve(self, connection):
         reason = "closed"
         try:
-            if not self._read(connection):       # what came with it: a joining must not wait among strangers
-                return
-            while True:
+            while self._read(connection):        # at once: a joining that came with it must not wait
                 if connection.role == "stranger":
                     due = connection.since + JOINING
                 else:
                     due = connection.asked and connection.asked + self.unheard
-                events = yield connection.sock.fileno(), IN | (OUT if connection.unsent else 0), due
-                if not events and due and self.loop.now >= due:
-                    if connection.role == "stranger":
-                        raise BadInput("it has not joined in time")
-                    self._away(connection)
-                if connection.unsent:
-                    self._write(connection, b"")
-                # Not when poked: the turn is closed by then, and what it reports would miss its mark
-                if events and not self._read(connection):
-                    return
+                events = 0
+                while not events:
+                    # A poke reads nothing: the turn is closed by then; what is reported would miss its mark
+                    if self.last_until is not None:
+                        reason = "given up"
+                        return (yield from self._linger(connection))
+                    events = yield connection.sock.fileno(), IN | (OUT if connection.unsent else 0), due
+                    if not events and due and self.loop.now >= due:
+                        if connection.role == "stranger":
+                            raise BadInput("it has not joined in time")
+                        self._away(connection)
+                    if connection.unsent:
+                        self._write(connection, b"")
+                    if connection.role != "stranger":
+                        due = connection.asked and connection.asked + self.unheard
+            self._left(connection)
+            if connection.unsent:                # it has ended its side alone, and may read still
+                yield from self._linger(connection)
         except GeneratorExit:
             reason = "given up"
             raise
         except BadInput as error:
             reason = str(error)
-            self._refuse(connection, reason)
+            self._left(connection)
+            if connection.role == "stranger":    # a last word, which must not be lost with the close
+                self.log.often("refused", peer=connection.peer, why=reason)
+                word, reason = frame({"type": "refused", "why": reason}), "refused"
+                if not connection.unsent:        # else it reads nothing
+                    connection.unsent = word
+                    try:
+                        yield from self._linger(connection)
+                    except OSError:
+                        pass                     # it is gone already
         except OSError as error:
             reason = error.strerror or str(error)
         except Exception:
@@ -143,33 +173,59 @@
         finally:
             self._end(connection, reason)
 
+    def _linger(self, connection):
+        """Writes what waits, ends our side and drops what still comes until the other ends its own, for a
+        moment at most: a close over bytes that were not read resets, and takes with it what was sent."""
+        sock, told, until = connection.sock, False, self.loop.now + LINGER
+        while self.loop.now < until:
+            self._write(connection, b"")
+            if not connection.unsent and not told:
+                sock.shutdown(socket.SHUT_WR)
+                told = True
+            ended, total = False, 0
+            while not ended and total < READ_MOST:
+                try:
+                    dropped = len(sock.recv(DROPPED))
+                except BlockingIOError:
+                    break
+                ended, total = not dropped, total + dropped
+            if ended and told:
+                return
+            yield sock.fileno(), (0 if ended else IN) | (0 if told else OUT), until
+
+    def finish(self):
+        """No more are taken; each is told the end after what waits for it, and all have ended soon."""
+        self.loop.end(self.accepting)
+        self.last_until = self.loop.now + LINGER
+        for connection in list(self.connections):
+            self.loop.poke(connection.task)
+
+    def _left(self, connection):
+        """Its leaving, where it is a proxy's current stream."""
+        if self.proxies.get(connection.proxy) is connection:
+            del self.proxies[connection.proxy]
+            # What we end ourselves has not left by the protocol: what waits for it stays in the account
+            self.coordinator.report(self.loop.now, "left", proxy=connection.proxy, silent=connection.ours)
+            connection.left = True
+
     def _end(self, connection, reason):
         del self.connections[connection]
         self.strangers.pop(connection, None)
         connection.sock.close()
         connection.reader.close()
-        if self.proxies.get(connection.proxy) is connection:
-            del self.proxies[connection.proxy]
-            # What we end ourselves has not left by the protocol: what waits for it stays in the account
-            self.coordinator.report(self.loop.now, "left", proxy=connection.proxy, silent=connection.ours)
-        elif connection.role == "proxy":
+        self._left(connection)
+        if connection.role == "proxy" and not connection.left:
             reason = "replaced"
         if connection.role != "stranger":
             self.log.event("ended", peer=connection.peer, role=connection.role, proxy=connection.proxy,
                            why=reason)
-        elif reason not in ("closed", "given up"):
+        elif reason not in ("closed", "given up", "refused"):
             self.log.often("refused", peer=connection.peer, why=reason)
 
-    @staticmethod
-    def _refuse(connection, why):
-        """A last word to a stranger, as far as it can be written at once."""
-        if connection.role == "stranger":
-            try:
-                connection.sock.send(frame({"type": "refused", "why": why}))
-            except OSError:
-                pass                 # it is closed all the same
-
-    def _take_in(self, connection, role):
+    def _take_in(self, connection, role, before=None):
+        others = len(self.connections) - len(self.strangers) - (before is not None)
+        if others >= self.most and not self._give_up_collector():
+            raise BadInput("no place is free here")
         del self.strangers[connection]
         connection.role, connection.reader.largest = role, LARGEST
 
@@ -191,7 +247,8 @@
         reader, total = connection.reader, 0
         while total < READ_MOST:
             view = reader.room()
-            if view is None and self._make_room(connection):
+            if view is None and (self._make_room(holding=True)
+                                 or self._give_up_collector(connection, holding=True)):
                 view = reader.room()
             if view is None:
                 connection.ours = True
@@ -261,7 +318,11 @@
         rate = figure(message, "w") if rate is not None else 0
         cold = need(message, "cold", bool)
         before = self.proxies.get(number)
-        self._take_in(connection, "proxy")
+        if before and before.number > connection.number:
+            # Against a joining that was held up until its proxy had dialled again: the stream that the proxy
+            # gave up must not end the one it uses. Harm: a proxy that joins on the older of two is refused.
+            raise BadInput(f"the proxy {number} has joined on a later connection")
+        self._take_in(connection, "proxy", before)
         connection.proxy = number
         connection.joining = {"proxy": number, "zone": zone, "standing": cold, "rate": rate}
         self.proxies[number] = connection
@@ -285,6 +346,8 @@
         self.coordinator.report(self.loop.now, "applied", proxy=connection.proxy, serial=serial, took=took)
 
     def _own(self, connection, message):
+        if connection.role == "proxy" and message.get("node") == connection.proxy:
+            return connection.proxy  # also where a new configuration expects fewer proxies: who joined stays
         number = self._number(message)
         if connection.role == "proxy" and number != connection.proxy:
             raise BadInput(f"a {message['type']!r} names the proxy {number} on another's stream")
--- a/granitespool/settings.py
+++ b/granitespool/settings.py
@@ -3,6 +3,7 @@
 The simulator's wire and the sockets name a list entry's fields differently; each way has its names here, and
 no wire name is seen further in. No decision is taken in this file."""
 from math import isfinite
+from types import NoneType
 
 NUM = (int, float)
 MOST = 1e18     # a figure above it is no time or weight: Unix time in microseconds is a thousandth
@@ -101,6 +102,15 @@
     result["classes"] = classes
     if not result.get("lines_per_s", 1):
         raise BadInput("the settings' channel has no pace")
+    if not result.get("backlog_limit", 1):
+        raise BadInput("the settings' channel may hold no line")
+    kinds = [kind.get("name") for kind in classes]
+    for what, names in (("zone", result.get("zones") or []), ("class", kinds)):
+        # What proxies and orders name: any text, but a name, and one that means one thing
+        if odd := [name for name in names if not isinstance(name, str)]:
+            raise BadInput(f"the settings name a {what} {odd[0]!r:.40}, which is no text")
+        if twice := sorted({name for name in names if names.count(name) > 1}):
+            raise BadInput(f"the settings name the {what} {twice[0]!r:.40} twice")
     result["subscribe"] = wire.get("membership_mode") == "subscribe"
     return result
 
@@ -115,6 +125,11 @@
 def list_entry(row, names):
     if not isinstance(row, dict):
         raise BadInput("a list entry is not an object")
+    for name in ("zone", names["kind"], names["cell"]):
+        # Against a list or an object where a name is due: the planner counts by these, and would fail in each
+        # of its rounds from then on. Harm: such an entry is left out, as any that cannot be read.
+        if not isinstance(row.get(name), (str, *NUM, NoneType)):
+            raise BadInput(f"the field {name!r} of a 'list entry' holds {row[name]!r:.40}")
     weight = row.get("weight")
     return {"backend": need(row, names["backend"], str), "zone": row.get("zone"),
             "kind": row.get(names["kind"]), "cell": row.get(names["cell"]),
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -424,6 +424,48 @@
         del self.parties[name]
         self.turn()
 
+    def do_ends(self, name):             # it has sent its last and still reads
+        self.parties[name].shutdown(socket.SHUT_WR)
+        self.turn()
+
+    def do_unreset(self, name):          # its connection ended in good order
+        assert self.parties[name].recv(1) == b""
+
+    def do_alone(self):                  # nobody is connected
+        self.until(lambda: not self.service.streams.connections, "connections")
+
+    def do_drips(self, seconds, *words):  # a byte of this each half a second, over and over, as chunks
+        data = " ".join(words).encode() * 100
+        for byte in data[:value(seconds) // 500_000_000]:
+            with suppress(OSError):
+                self.watches[-1].sendall(b"1\r\n%c\r\n" % byte)
+            self.do_at(f"{(self.now - EPOCH) / 10**9 + 0.5:.3f}s")
+
+    def do_probed(self, backend, where):  # where this backend is probed
+        assert self.service.discovery.addresses[backend] == self.service.discovery.addresses[where[1:]]
+
+    def do_lags(self, seconds, name, *words):  # it is stopped with events in hand; this comes meanwhile
+        real = self.service.loop.epoll
+
+        def poll(*_):
+            self.service.loop.epoll, found = real, real.poll(0)
+            self.parties[name].sendall(framed(words))
+            self.now += value(seconds)
+            return found
+        self.service.loop.epoll = SimpleNamespace(poll=poll)
+        self.service.turn(0)
+        assert self.service.loop.epoll is real
+        self.turn()
+
+    def do_together(self, *steps):       # these are done before the process runs again; split by |
+        real, self.turn = self.turn, lambda *_: None
+        try:
+            for step in " ".join(steps).split(" | "):
+                self.play(step)
+        finally:
+            self.turn = real
+        self.turn()
+
     def do_gets(self, name, *words):
         self.until(lambda: " ".join(words) in self.got[name], (name, words))
 
