--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN = .venv/bin
 
-.PHONY: proto build test lint run toy crash bench-log bench-state bench-restart bench-manage
+.PHONY: proto build test lint run toy crash bench-log bench-state bench-restart bench-manage bench-ready
 
 build: $(BIN)/.built
 
@@ -29,6 +29,9 @@
 crash: build
 	GRANITESPOOL_KILLS=300 $(BIN)/python -m pytest tests/test_state_service.py -k sigkill
 
+bench-ready: build
+	$(BIN)/python -m bench.ready
+
 bench-log: build
 	$(BIN)/python -m bench.log
 
--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -13,6 +13,7 @@
 from stage import framed, joining
 from test_full_size import told
 
+from bench.ready import restarts
 from granitespool.net import bind as binding
 from granitespool.net import config
 from granitespool.net import log as logging
@@ -158,6 +159,13 @@
             assert successor.wait(LONG) == former.wait(LONG) == 0
 
 
+def test_each_start_under_a_storm_of_joiners_and_strangers_is_ready():
+    told_of = []
+    took = restarts(3, 60, 40, 30, told_of.append)
+    assert len(took) == 3 and all(each is not None for each in took), told_of
+    assert not any("ended" in line for line in told_of), told_of
+
+
 # SIGTERM
 
 def test_a_stream_ends_in_good_order_after_what_was_ordered_though_bytes_of_it_were_not_read(tmp_path):
