What a collector sent before a reset counts; an order the system had no room for is kept

Seen by tests that force it (two scenarios in sockets.txt, both fail on the text before): with an answer waiting for it, a collector's reset was met by the write that went before the read, and its last reports were lost; an order whose write failed for want of room (ENOBUFS) was lost, though its stream went on and the planner counted it as sent. Faulty lines: streams.py _serve, which wrote before it read, and send, which dropped the bytes.

--- a/granitespool/net/streams.py
+++ b/granitespool/net/streams.py
@@ -128,6 +128,8 @@
         reason = "closed"
         try:
             while self._read(connection):        # at once: a joining that came with it must not wait
+                if connection.unsent:            # after what it sent: a reset ends the one, and not the other
+                    self._write(connection, b"")
                 if connection.role == "stranger":
                     due = connection.since + JOINING
                 else:
@@ -143,8 +145,6 @@
                         if connection.role == "stranger":
                             raise BadInput("it has not joined in time")
                         self._away(connection)
-                    if connection.unsent:
-                        self._write(connection, b"")
                     if connection.role != "stranger":
                         due = connection.asked and connection.asked + self.unheard
             self._left(connection)
@@ -386,10 +386,11 @@
         order = self.coordinator.pick(proxy)
         if order is None:
             return
+        data = updates(order)
         try:
-            self._write(connection, updates(order))
+            self._write(connection, data)
         except OSError:
-            pass                 # the coroutine meets the same end when it reads
+            connection.unsent = data  # the coroutine meets the same end, or where it is none goes on with it
         if order["mark"] is not None and connection.asked is None:
             connection.asked = self.loop.now
         self.loop.poke(connection.task)          # it waits anew, for the socket or for the answer
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -233,11 +233,13 @@
     def __init__(self, sock):
         self.sock = sock
 
+    error = BlockingIOError
+
     def __getattr__(self, name):
         return getattr(self.sock, name)
 
     def send(self, data):
-        raise BlockingIOError
+        raise self.error
 
 
 class Sockets(Stage):
@@ -483,6 +485,12 @@
         full, full.sock = self.deaf.pop(name)
         self.turn()
 
+    def do_fails(self, name, error, *words):  # each write to it fails so from now on; it has sent this before
+        if words:
+            self.parties[name].sendall(framed(words))
+        self.deaf[name][0].sock.error = {"ECONNRESET": ConnectionResetError, "ENOBUFS": OSError}[error]
+        self.turn()
+
     def do_forget(self, name):
         self.got[name] = ""
 
@@ -504,6 +512,9 @@
         rec = self.service.coordinator.planner.backends[backend]
         assert (rec.tried, [link.tries for link in rec.links.values() if link.tries]) == (0, []), rec.tried
 
+    def do_heard_of(self, backend, tries):  # so many tries were counted of it
+        self.until(lambda: self.service.coordinator.planner.backends[backend].tried == int(tries), tries)
+
     def do_unlogged(self, *words):
         assert " ".join(words) not in self.log, self.log
 
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from storm import SECOND, Storm
 
-from granitespool.channel import SERIALS, Channel
+from granitespool.channel import MARK_LOST, SERIALS, Channel
 from granitespool.rules import AHEAD
 
 
@@ -180,3 +180,17 @@
     assert channel.book(10**6, 2, 1) and len(channel.turns) == 2  # it jumps the mark that still waits
     channel.expire(16 * SECOND + 10)  # sixteen full queues of a second
     assert list(channel.held) == [2] and channel.waiting == 5
+
+
+def test_an_answer_that_crosses_the_loss_of_its_mark_takes_nothing_off_twice():
+    channel = Channel()
+    channel.new_settings({"lines_per_s": 100.0, "backlog_limit": 100.0, "message_head": 3.0})
+    channel.book(0, 1, 10)
+    lost = channel.serial
+    channel.book(SECOND, 2, 10)
+    channel.expire((MARK_LOST * channel.full) + 1)
+    left = channel.waiting
+    assert left == 14 and channel.answered(20 * SECOND, 1, lost) is False and channel.waiting == left
+    channel.book(20 * SECOND, 1, 5)
+    assert channel.answered(21 * SECOND, 1, lost) is False and channel.waiting == left + 9
+    assert channel.answered(21 * SECOND, 1, channel.serial) and channel.waiting == left
