--- a/granitespool/net/door.py
+++ b/granitespool/net/door.py
@@ -15,6 +15,7 @@
 import socket
 import time
 
+from granitespool.net.bind import bind
 from granitespool.net.loop import IN, OUT, SECOND
 from granitespool.net.tls import Broken, Secure
 
@@ -75,7 +76,7 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         host, _, port = settings.listen.rpartition(":")
         try:
-            self.listener.bind((host, int(port)))
+            bind(self.listener, (host, int(port)), log)
         except OSError:
             self.listener.close()
             raise
--- a/tests/test_vast.py
+++ b/tests/test_vast.py
@@ -1,5 +1,7 @@
 """Several coordinators over the same backends, none speaking to another: what all of them together do."""
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from storm import SECOND, Storm
 
 COORDINATORS, PROXIES, BACKENDS, STEP = 5, 24, 40, 12  # proxies are each coordinator's
@@ -86,3 +88,75 @@
         met = fleet.second(0.4)
     new = [name for name, since in fleet.since.items() if since]
     assert sum(met[name] for name in new) > 0.6 * sum(fleet.can(name) for name in new) * LOAD
+
+
+STEPS = st.lists(st.one_of(
+    st.tuples(st.just("release"), st.integers(1, 8)),  # so many are replaced, told to all
+    st.tuples(st.just("whole"), st.integers(0, 4)),    # this one gets a whole list
+    st.tuples(st.just("back"), st.integers(1, 6)),     # those that drained last return under their names
+    st.tuples(st.just("short"), st.integers(1, 10)),   # a whole list that leaves so many out, at one
+    st.tuples(st.just("dies"), st.integers(0, 4)),     # its proxies join the next one with their tables
+    st.tuples(st.just("reports"), st.integers(0, 20))), min_size=1, max_size=10)
+
+
+def answered(storm, names):
+    for name in names:
+        storm.coordinator.report(storm.now, "probed", backend=name, status="ok", took=10**6, load={})
+
+
+@settings(max_examples=20, deadline=None, derandomize=True)
+@given(STEPS, st.integers(2, 5), st.integers(2, 12), st.integers(6, 40))
+def test_whatever_order_losses_lists_and_late_reports_come_in(steps, coordinators, proxies, backends):
+    # Each turn checks that what waits is booked and within the limit, and that no planner failed
+    storms = [Storm(backends, 3, planners=coordinators, lines_per_s=900.0, backlog_limit=6000.0, probes=True,
+                    proxies_expected=coordinators * proxies, drain_grace=6 * SECOND)
+              for _ in range(coordinators)]
+    for number, storm in enumerate(storms):
+        for proxy in range(proxies):
+            storm.join(number * proxies + proxy)
+        storm.run(1)
+    gone = []
+    for kind, number in steps:
+        if kind == "release":
+            count = min(number, len(storms[0].ready) - 1)
+            gone += storms[0].ready[:count]
+            for storm in storms:
+                storm.release(count)
+                answered(storm, storm.ready[-count:])
+        elif kind == "back":
+            for name in gone[-number:]:
+                for storm in storms:
+                    storm.lists("changes", [(name, "ready", storm.now)])
+                    answered(storm, [name])
+                    storm.ready.append(name)
+            del gone[-number:]
+        elif kind == "short":
+            storm = storms[number % coordinators]
+            storm.lists("whole", [(name, "ready", 0) for name in storm.ready[number:]])
+        elif kind == "whole":
+            storm = storms[number % coordinators]
+            storm.lists("whole", [(name, "ready", 0) for name in storm.ready])
+        elif kind == "dies":
+            lost, heir = storms[number % coordinators], storms[(number + 1) % coordinators]
+            for proxy in list(lost.joined):
+                held = lost.holds.get(proxy)
+                lost.leave(proxy)
+                heir.join(proxy, standing=False)
+                if held:
+                    heir.holds[proxy] = held
+        else:
+            for storm in storms:
+                for name in storm.ready[:number] + gone[:2]:
+                    storm.coordinator.report(storm.now, "heard", zone="z0", backend=name, tries=9,
+                                             failed=number % 10, mean=SECOND // 5, window=9 * SECOND, load={})
+        for storm in storms:
+            storm.run(1)
+    for storm in storms:
+        storm.lists("whole", [(name, "ready", 0) for name in storm.ready])
+        answered(storm, storm.ready)
+        storm.run(30)
+        assert not storm.coordinator.planner.unbound
+        for proxy in storm.joined:
+            table, out = storm.holds[proxy]
+            assert set(table) - out, "a proxy without a backend"
+            assert not set(table) - out - set(storm.ready), "a drained backend is held"
