--- a/tests/house.py
+++ b/tests/house.py
@@ -1,9 +1,11 @@
 """A whole service with managers' doors, in a thread and in real time, for clients that block."""
 import json
 import os
+import secrets
 import socket
 import threading
 import time
+from contextlib import suppress
 
 from granitespool.cli.keys import make
 from granitespool.lab.managers import Manager
@@ -21,8 +23,11 @@
 
 
 def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return sock.getsockname()[1]
+    """A port from under the range that the system gives to whoever dials: nobody takes it meanwhile."""
+    while True:
+        port = 20_000 + secrets.randbelow(12_000)
+        with suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return port
 
 
 def keys(folder):
