A stranger that needs a buffer is never given up by its own asking

Found on reading the change again: _make_room lost its 'but' when evictions were split, so a stranger that held the oldest buffer and asked for one more was chosen itself; ending a running coroutine fails, the loop forgot it, and its socket stayed watched by nobody. Who asks is left out again; the scenario fails without it.

--- a/granitespool/net/streams.py
+++ b/granitespool/net/streams.py
@@ -104,11 +104,12 @@
         self.connections[connection] = self.strangers[connection] = None
         connection.task = self.loop.spawn(self._serve(connection))
 
-    def _make_room(self, holding=False):
-        """Gives up the oldest stranger, of those that hold a buffer where one is sought.
+    def _make_room(self, but=None, holding=False):
+        """Gives up the oldest stranger, of those that hold a buffer where one is sought; not who asks for it.
         Against floods of strangers: they give way to who may be a proxy, but not before their own joining can
         have come. What else it holds for: all proxies at once. Harm: past so many at once, others wait."""
-        oldest = next((each for each in self.strangers if each.reader.chain or not holding), None)
+        oldest = next((each for each in self.strangers if each is not but and
+                       (each.reader.chain or not holding)), None)
         if oldest is None or self.loop.now - oldest.since < YOUNG:
             return False
         return self._give_up(oldest)
@@ -247,7 +248,7 @@
         reader, total = connection.reader, 0
         while total < READ_MOST:
             view = reader.room()
-            if view is None and (self._make_room(holding=True)
+            if view is None and (self._make_room(connection, holding=True)
                                  or self._give_up_collector(connection, holding=True)):
                 view = reader.room()
             if view is None:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -430,6 +430,15 @@
         self.parties[name].shutdown(socket.SHUT_WR)
         self.turn()
 
+    def do_exhausts(self, left):         # so many buffers are left
+        pool = self.service.streams.pool
+        pool.most = pool.out + int(left)
+
+    def do_spans(self, name):            # a buffer full of pings, and the beginning of one more
+        ping = framed(['{"type":"ping"}'])
+        self.parties[name].sendall((ping * 1000)[:self.service.streams.pool.size] + b"x" * 100)
+        self.turn()
+
     def do_unreset(self, name):          # its connection ended in good order
         assert self.parties[name].recv(1) == b""
 
