--- a/bench/ready.py
+++ b/bench/ready.py
@@ -18,6 +18,8 @@
 
 import docopt
 
+from granitespool.net.frames import frame
+
 USAGE = """Usage: ready [--restarts=N] [--proxies=N] [--strangers=N] [--backends=N] [--limit=S]
 
 Options:
@@ -29,11 +31,6 @@
 PART = 0.9            # of the starts have to be ready within the limit
 GIVEN_UP = 60.0       # s after which a start is a failure
 AGAIN = 0.01          # s between two diallings of one party
-PING = b'{"type":"ping"}'
-
-
-def framed(body):
-    return len(body).to_bytes(4, "little") + body
 
 
 def configuration(listen, proxies, backends, sockets):
@@ -93,7 +90,7 @@
         try:
             with socket.create_connection(where, left) as sock:
                 sock.settimeout(left)
-                sock.sendall(framed(PING))
+                sock.sendall(frame({"type": "ping"}))
                 if b"pong" in sock.recv(100):
                     return time.monotonic() - began
         except OSError:
@@ -106,8 +103,8 @@
     """The times that so many starts under a storm took, None for one that was not ready."""
     with socket.create_server(("127.0.0.1", 0)) as free:
         where = free.getsockname()
-    joinings = [framed(json.dumps({"type": "joined", "node": n, "locality": f"z{n % 3}", "w": 5.0,
-                                   "cold": False}).encode()) for n in range(proxies)]
+    joinings = [frame({"type": "joined", "node": n, "locality": f"z{n % 3}", "w": 5.0, "cold": False})
+                for n in range(proxies)]
     crowd, took = Crowd(where, joinings + [b""] * strangers), []
     with tempfile.TemporaryDirectory() as folder:
         path = os.path.join(folder, "config.json")
--- a/granitespool/net/discovery.py
+++ b/granitespool/net/discovery.py
@@ -29,7 +29,7 @@
         self.where, self.index, self.told_at = config["discovery"], 0, loop.now
         self.heard_at = loop.now     # when a line came last, news or not
         self.after, self.unread = 0, False  # version that is asked from; was anything since it not readable
-        self.first, self.reask, self.reask_at = True, REASK, 0  # is the next message a watch's first
+        self.fresh, self.reask, self.reask_at = True, REASK, 0  # is the next message a watch's first
         self.addresses = {}          # of every backend listed and not yet forgotten; None: none was told
         self.named = False           # whether any list has named anyone
         self.news(config["known"])
@@ -75,7 +75,7 @@
     def _read_up_to(self, index, unread):
         """Keeps the version to ask from: that before the first entry that could not be read, until a watch
         from there has told it again and all of it was readable."""
-        if self.first or not self.unread:
+        if self.fresh or not self.unread:
             if unread and not self.unread:
                 self.reask = REASK
             self.unread = unread
@@ -84,7 +84,7 @@
                 self.reask = min(REASK_MOST, 2 * self.reask)
         if not self.unread:
             self.after = index
-        self.first = False
+        self.fresh = False
 
     def forget(self, backend):
         self.addresses.pop(backend, None)
@@ -104,7 +104,7 @@
                     yield from dial(sock, self.where, self.loop.now + DIAL)
                     http = yield from ask(sock, self.where, f"/discovery/hosts?watch=1&after={self.after}",
                                           self.loop.now + DIAL)
-                    waiting, self.first, whole_by = b"", True, self.loop.now + LINE
+                    waiting, self.fresh, whole_by = b"", True, self.loop.now + LINE
                     while (event := http.next_event()) is not None:
                         if event is h11.NEED_DATA:
                             if self.loop.now >= whole_by:
@@ -121,7 +121,7 @@
                                 self._line(line)
                             if len(waiting) > LINE_MOST:
                                 raise BadInput("a line of the list is over the limit")
-                            if self.unread and not self.first and self.loop.now >= self.reask_at:
+                            if self.unread and not self.fresh and self.loop.now >= self.reask_at:
                                 raise BadInput("what could not be read is asked for again")
                         elif isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
                             raise BadInput("the list's watch was ended")
--- a/granitespool/net/streams.py
+++ b/granitespool/net/streams.py
@@ -131,23 +131,18 @@
             while self._read(connection):        # at once: a joining that came with it must not wait
                 if connection.unsent:            # after what it sent: a reset ends the one, and not the other
                     self._write(connection, b"")
-                if connection.role == "stranger":
-                    due = connection.since + JOINING
-                else:
-                    due = connection.asked and connection.asked + self.unheard
                 events = 0
                 while not events:
                     # A poke reads nothing: the turn is closed by then; what is reported would miss its mark
                     if self.last_until is not None:
                         reason = "given up"
                         return (yield from self._linger(connection))
+                    due = self._due(connection)
                     events = yield connection.sock.fileno(), IN | (OUT if connection.unsent else 0), due
                     if not events and due and self.loop.now >= due:
                         if connection.role == "stranger":
                             raise BadInput("it has not joined in time")
                         self._away(connection)
-                    if connection.role != "stranger":
-                        due = connection.asked and connection.asked + self.unheard
             self._left(connection)
             if connection.unsent:                # it has ended its side alone, and may read still
                 yield from self._linger(connection)
@@ -174,6 +169,12 @@
         finally:
             self._end(connection, reason)
 
+    def _due(self, connection):
+        """When it has taken too long to join, or was silent for too long; None where nothing is awaited."""
+        if connection.role == "stranger":
+            return connection.since + JOINING
+        return connection.asked and connection.asked + self.unheard
+
     def _linger(self, connection):
         """Writes what waits, ends our side and drops what still comes until the other ends its own, for a
         moment at most: a close over bytes that were not read resets, and takes with it what was sent."""
