Tests for what had none of its own: a long turn's SIGTERM, a late probe, a late word, the trap

Guards of what holds: orders of the turn that SIGTERM falls into are written, a probe's answer and a silent proxy's word that came in time are met first, the deploy line starts the process deaf to SIGHUP and gives way to it.

--- a/tests/stage.py
+++ b/tests/stage.py
@@ -456,11 +456,22 @@
         assert self.service.discovery.addresses[backend] == self.service.discovery.addresses[where[1:]]
 
     def do_lags(self, seconds, name, *words):  # it is stopped with events in hand; this comes meanwhile
+        self.stopped(seconds, lambda: self.parties[name].sendall(framed(words)))
+
+    def do_probing(self, backend):       # its probe has arrived
+        self.until(lambda: any(name == backend for _, name in self.probing), backend)
+
+    def do_tardy(self, seconds, backend, *words):  # the same, and what comes is the answer of a probe
+        [sock] = [sock for sock, name in self.probing if name == backend]
+        answer = " ".join(words).encode().decode("unicode_escape").encode()
+        self.stopped(seconds, lambda: sock.sendall(answer))
+
+    def stopped(self, seconds, meanwhile):
         real = self.service.loop.epoll
 
         def poll(*_):
             self.service.loop.epoll, found = real, real.poll(0)
-            self.parties[name].sendall(framed(words))
+            meanwhile()
             self.now += value(seconds)
             return found
         self.service.loop.epoll = SimpleNamespace(poll=poll)
--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -7,7 +7,9 @@
 import subprocess
 import sys
 import threading
+import tomllib
 from contextlib import ExitStack, contextmanager, suppress
+from pathlib import Path
 
 import pytest
 from stage import framed, joining
@@ -120,6 +122,14 @@
         """Nor is it written."""
 
 
+def test_the_deploy_file_starts_the_process_deaf_to_sighup_and_gives_way_to_it():
+    run = tomllib.loads((Path(__file__).parent.parent / "deploy/balancer.toml").read_text())["run"]
+    asks = "import os, signal; print(signal.getsignal(signal.SIGHUP).name, os.getpid())"
+    shown = run.replace(".venv/bin/python -m granitespool serve", f"{sys.executable} -c '{asks}'")
+    with subprocess.Popen(["/bin/sh", "-c", shown], stdout=subprocess.PIPE, text=True) as it:
+        assert shown != run and it.communicate(timeout=LONG)[0].split() == ["SIG_IGN", str(it.pid)]
+
+
 @pytest.mark.parametrize("kind", [socket.SOCK_STREAM, socket.SOCK_DGRAM])
 def test_an_address_that_the_former_process_still_holds_is_waited_for(monkeypatch, kind):
     with socket.socket(socket.AF_INET, kind) as former, socket.socket(socket.AF_INET, kind) as sock:
@@ -228,6 +238,24 @@
             service.run()
 
 
+def test_the_orders_of_the_turn_that_sigterm_falls_into_are_written(tmp_path):
+    with open(tmp_path / "log", "wb") as log:
+        service = Service(config.checked({**told(1, 3), "peer_listen": None}), log.fileno())
+        with dialled("{}:{}".format(*service.streams.listener.getsockname())) as sock:
+            sock.sendall(framed([joining(1, "z0")]))
+            while 1 not in service.streams.proxies:
+                service.turn(SECOND)
+            real = service.coordinator.tick
+
+            def tick(now):
+                service.stop()                     # as a handler does, in the middle of it
+                service.coordinator.weigh(0, "s1", 7.5)
+                return real(now)
+            service.coordinator.tick = tick
+            service.run()
+            assert b'["s1",7.5]' in to_the_end(sock)
+
+
 def test_one_part_that_fails_to_close_keeps_no_other_from_it(tmp_path):
     class Torn:
         def close(self):
