--- a/tests/stage.py
+++ b/tests/stage.py
@@ -458,8 +458,9 @@
     def do_lags(self, seconds, name, *words):  # it is stopped with events in hand; this comes meanwhile
         self.stopped(seconds, lambda: self.parties[name].sendall(framed(words)))
 
-    def do_probing(self, backend):       # its probe has arrived
-        self.until(lambda: any(name == backend for _, name in self.probing), backend)
+    def do_probing(self, backend):       # its probe has asked
+        self.until(lambda: any(name == backend and select.select([sock], [], [], 0)[0]
+                               for sock, name in self.probing), backend)
 
     def do_tardy(self, seconds, backend, *words):  # the same, and what comes is the answer of a probe
         [sock] = [sock for sock, name in self.probing if name == backend]
