What is asked for again counts though its version is older than what is held

Found on reading again: changes are measured against the version that was asked from, not against the newest held; an entry that came again on a line of its own would have been left out as older, for good.

--- a/granitespool/net/discovery.py
+++ b/granitespool/net/discovery.py
@@ -46,7 +46,7 @@
         """Reports one message of the list; an entry that is wrong is left out."""
         message = {"type": "list", **message} if isinstance(message, dict) else {"type": "list"}
         index, entries, unread = figure(message, "index", int), [], False
-        if index < self.index and not message.get("snapshot"):
+        if index < self.after and not message.get("snapshot"):
             # Against changes that another copy of discovery is late with: what is held is newer. A whole list
             # stands for itself, whatever its version. Harm: none by the protocol, changes come in order.
             return self.log.often("list_older", index=index, held=self.index)
