--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 import pytest
+from house import free_port
 from stage import framed, joining
 from test_full_size import told
 
@@ -28,13 +29,8 @@
 LONG = 60  # s: a bound for a machine that is busy, never a time that is waited
 
 
-def free():
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return "{}:{}".format(*sock.getsockname())
-
-
 def configured(path, **more):
-    path.write_text(json.dumps({**told(1, 3), "peer_listen": None, **more}))
+    path.write_text(json.dumps({**HERE, **more}))
     return path
 
 
@@ -48,6 +44,30 @@
                 it.kill()
 
 
+HERE = {**told(1, 3), "peer_listen": None}
+
+
+@contextmanager
+def serving(tmp_path, clock=None, **more):
+    """A service in this thread, with where it listens and what it has logged so far."""
+    path = tmp_path / f"log-{len(list(tmp_path.iterdir()))}"
+    with open(path, "wb") as log:
+        service = Service(config.load(str(configured(tmp_path / "config.json", **more))), log.fileno(), clock)
+        service.where = "{}:{}".format(*service.streams.listener.getsockname())
+        service.text = path.read_text
+        try:
+            yield service
+        finally:
+            if service.loop.bell is not None:
+                service.close()
+
+
+def joins(sock, service, zone="z0"):
+    sock.sendall(framed([json.dumps({"type": "joined", "node": 1, "locality": zone, "w": 1, "cold": True})]))
+    while 1 not in service.streams.proxies:
+        service.turn(SECOND)
+
+
 def event(it, name):
     """The next line of this event; the log's end is a failure."""
     for line in iter(it.stdout.readline, b""):
@@ -89,7 +109,7 @@
     it, path, file = reading
     configured(path, discovery="127.0.0.1:11")
     it.send_signal(signal.SIGHUP)
-    file.write(json.dumps({**told(1, 3), "peer_listen": None}))
+    file.write(json.dumps(HERE))
     file.close()
     event(it, "serving")
     assert event(it, "reloaded")["discovery"] == "127.0.0.1:11"
@@ -154,7 +174,7 @@
 
 
 def test_a_successor_starts_while_the_former_process_still_serves(tmp_path):
-    where = free()
+    where = f"127.0.0.1:{free_port()}"
     path = configured(tmp_path / "config.json", listen=where)
     with process(path) as former:
         event(former, "serving")
@@ -180,7 +200,7 @@
 
 def test_a_stream_ends_in_good_order_after_what_was_ordered_though_bytes_of_it_were_not_read(tmp_path):
     # A close over bytes that were not read is a reset, and takes with it what the other has not read yet
-    where = free()
+    where = f"127.0.0.1:{free_port()}"
     with process(configured(tmp_path / "config.json", listen=where)) as it:
         event(it, "serving")
         with dialled(where) as sock:
@@ -206,54 +226,43 @@
         assert it.wait(LONG) == 0 and it.stderr.read() == b""
 
 
-def test_who_takes_nothing_keeps_the_end_up_for_a_moment_only_and_a_second_asking_not_at_all(tmp_path):
-    now, path = [10**18], tmp_path / "log"
-    with open(path, "wb") as log:
-        service = Service(config.checked({**told(1, 3), "peer_listen": None}), log.fileno(), lambda: now[0])
-        where, turns = "{}:{}".format(*service.streams.listener.getsockname()), []
-        with dialled(where) as sock:
-            sock.sendall(framed([joining(1, "z0")]))
-            while 1 not in service.streams.proxies:
-                service.turn(SECOND)
-            real = service.loop.turn
-
-            def turn(end_of_turn, wait):           # a second passes by the quarter of LINGER
-                turns.append(wait)
-                now[0] += LINGER // 4
-                real(end_of_turn, 0)
-            service.loop.turn = turn
-            service.stop()
-            service.run()
-        assert 3 <= len(turns) <= 5 and LINGER < 0.35 * SECOND
-    assert b'"stopped"' in path.read_bytes()
-    with open(path, "wb") as log:
-        service = Service(config.checked({**told(1, 3), "peer_listen": None}), log.fileno(), lambda: now[0])
-        with dialled("{}:{}".format(*service.streams.listener.getsockname())) as sock:
-            sock.sendall(framed([joining(1, "z0")]))
-            while 1 not in service.streams.proxies:
-                service.turn(SECOND)
-            service.stop()
-            service.stop()
-            service.loop.turn = lambda *_: pytest.fail("it waits")
-            service.run()
+def test_who_takes_nothing_keeps_the_end_up_for_a_moment_only(tmp_path):
+    now, turns = [10**18], []
+    with serving(tmp_path, lambda: now[0]) as service, dialled(service.where) as sock:
+        joins(sock, service)
+        real = service.loop.turn
+
+        def turn(end_of_turn, wait):               # a second passes by the quarter of LINGER
+            turns.append(wait)
+            now[0] += LINGER // 4
+            real(end_of_turn, 0)
+        service.loop.turn = turn
+        service.stop()
+        service.run()
+        assert 3 <= len(turns) <= 5 and LINGER < 0.35 * SECOND and '"stopped"' in service.text()
+
+
+def test_a_second_asking_for_the_end_waits_for_nobody(tmp_path):
+    with serving(tmp_path) as service, dialled(service.where) as sock:
+        joins(sock, service)
+        service.stop()
+        service.stop()
+        service.loop.turn = lambda *_: pytest.fail("it waits")
+        service.run()
 
 
 def test_the_orders_of_the_turn_that_sigterm_falls_into_are_written(tmp_path):
-    with open(tmp_path / "log", "wb") as log:
-        service = Service(config.checked({**told(1, 3), "peer_listen": None}), log.fileno())
-        with dialled("{}:{}".format(*service.streams.listener.getsockname())) as sock:
-            sock.sendall(framed([joining(1, "z0")]))
-            while 1 not in service.streams.proxies:
-                service.turn(SECOND)
-            real = service.coordinator.tick
+    with serving(tmp_path) as service, dialled(service.where) as sock:
+        joins(sock, service)
+        real = service.coordinator.tick
 
-            def tick(now):
-                service.stop()                     # as a handler does, in the middle of it
-                service.coordinator.weigh(0, "s1", 7.5)
-                return real(now)
-            service.coordinator.tick = tick
-            service.run()
-            assert b'["s1",7.5]' in to_the_end(sock)
+        def tick(now):
+            service.stop()                         # as a handler does, in the middle of it
+            service.coordinator.weigh(0, "s1", 7.5)
+            return real(now)
+        service.coordinator.tick = tick
+        service.run()
+        assert b'["s1",7.5]' in to_the_end(sock)
 
 
 def test_one_part_that_fails_to_close_keeps_no_other_from_it(tmp_path):
@@ -261,29 +270,27 @@
         def close(self):
             raise OSError("the disk is gone")
 
-    with open(tmp_path / "log", "wb") as log:
-        service = Service(config.checked({**told(1, 3), "peer_listen": None}), log.fileno())
-        service.keeper = service.managing = Torn()
-        where = service.streams.listener.getsockname()
+    def late():
+        try:
+            yield None, 0, None
+        finally:
+            raise OSError("nor this")
 
-        def late():
-            try:
-                yield None, 0, None
-            finally:
-                raise OSError("nor this")
+    with serving(tmp_path) as service:
+        service.keeper = service.managing = Torn()
         service.loop.spawn(late())
         service.close()
         assert service.loop.bell is None and not service.loop.all
         with pytest.raises(ConnectionRefusedError):
-            socket.create_connection(where)
-    text = (tmp_path / "log").read_text()
+            dialled(service.where)
+        text = service.text()
     assert text.count('"event":"failed"') == 3 and "nor this" in text and '"stopped"' in text
 
 
 def test_the_last_lines_wait_for_a_reader_that_is_slow(monkeypatch):
     monkeypatch.setattr(logging, "LAST", LONG)     # not on this machine's speed
     read, write = os.pipe()
-    service = Service(config.checked({**told(1, 3), "peer_listen": None}), write)
+    service = Service(config.checked(HERE), write)
     os.set_blocking(read, False)
     for _ in range(1000):
         service.log.event("remark", text="a-word-" * 20)
@@ -418,34 +425,27 @@
 @pytest.mark.parametrize("how", ["close", "reset", "silence"])
 def test_a_joining_that_is_cut_at_any_byte_joins_nobody_and_gives_all_back(tmp_path, how):
     now = [10**18]
-    with open(tmp_path / "log", "wb") as log:
-        service = Service(config.checked({**told(1, 3), "peer_listen": None}), log.fileno(), lambda: now[0])
-        where, kept = "{}:{}".format(*service.streams.listener.getsockname()), []
-        try:
-            for cut in range(len(JOINING)):
-                sock = dialled(where)
-                sock.sendall(JOINING[:cut])
-                while not service.streams.connections:
-                    service.turn(SECOND)
-                if how == "reset":
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-                if how == "silence":
-                    now[0] += 3 * SECOND
-                    kept.append(sock)
-                else:
-                    sock.close()
-                for _ in range(50):
-                    now[0] += LINGER // 2
-                    service.turn(SECOND // 100)
-                    if not service.streams.connections:
-                        break
-                assert not service.streams.connections and not service.streams.strangers, cut
-                assert service.streams.pool.out == 0 and not service.coordinator.proxies, cut
-        finally:
-            service.close()
-            for sock in kept:
+    with serving(tmp_path, lambda: now[0]) as service, ExitStack() as stack:
+        streams = service.streams
+        for cut in range(len(JOINING)):
+            sock = stack.enter_context(dialled(service.where))
+            sock.sendall(JOINING[:cut])
+            while not streams.connections:
+                service.turn(SECOND)
+            if how == "reset":
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            if how == "silence":
+                now[0] += 3 * SECOND
+            else:
                 sock.close()
-    assert "failed" not in (tmp_path / "log").read_text()
+            for _ in range(50):
+                now[0] += LINGER // 2
+                service.turn(SECOND // 100)
+                if not streams.connections:
+                    break
+            assert not streams.connections and not streams.strangers, cut
+            assert streams.pool.out == 0 and not service.coordinator.proxies, cut
+        assert "failed" not in service.text()
 
 
 # Settings of any deployment
@@ -455,33 +455,22 @@
 
 @pytest.mark.parametrize("name", NAMES)
 def test_any_text_names_a_zone_and_a_class(tmp_path, name):
-    path = tmp_path / "config.json"
-    path.write_text(json.dumps({**told(1, 3), "peer_listen": None, "settings": {
-        "zones": [name], "classes": [{"name": name, "aim_us": 1000000, "worth": 1}],
-        "family_info": {"proxy_count": 4, "admit": "fraction"}}}))
-    now = [10**18]
-    with open(tmp_path / "log", "wb") as log:
-        service = Service(config.load(str(path)), log.fileno(), lambda: now[0])
-        with dialled("{}:{}".format(*service.streams.listener.getsockname())) as sock:
-            sock.sendall(framed([json.dumps({"type": "joined", "node": 1, "locality": name, "w": 1,
-                                             "cold": True})]))
-            sock.sendall(framed([json.dumps({"type": "usage", "node": 1, "route": name, "total": 5,
-                                             "errors": 0, "interval": 1000})]))
-            while 1 not in service.coordinator.proxies:
-                service.turn(SECOND)
-            sock.setblocking(False)
-            data = b""
-            while b'"whole"' not in data:
-                now[0] += SECOND
-                service.turn(SECOND // 100)
-                try:
-                    data += sock.recv(1 << 16)
-                except BlockingIOError:
-                    pass
-        assert service.coordinator.planner.asked.get(name)
-        service.close()
-    text = (tmp_path / "log").read_text()
-    assert "failed" not in text and "remark" not in text and "dropped" not in text
+    now, data = [10**18], b""
+    named = {"zones": [name], "classes": [{"name": name, "aim_us": 1000000, "worth": 1}],
+             "family_info": {"proxy_count": 4, "admit": "fraction"}}
+    with serving(tmp_path, lambda: now[0], settings=named) as service, dialled(service.where) as sock:
+        joins(sock, service, name)
+        sock.sendall(framed([json.dumps({"type": "usage", "node": 1, "route": name, "total": 5, "errors": 0,
+                                         "interval": 1000})]))
+        sock.setblocking(False)
+        for _ in range(20):
+            now[0] += SECOND // 10
+            service.turn(SECOND // 100)
+            with suppress(BlockingIOError):
+                data += sock.recv(1 << 16)
+        assert b'"whole"' in data and service.coordinator.planner.asked.get(name)
+        text = service.text()
+    assert not any(word in text for word in ("failed", "remark", "dropped"))
 
 
 @pytest.mark.parametrize("change, words", [
@@ -499,14 +488,11 @@
 
 
 def test_a_reload_takes_another_deployments_settings_whole_and_names_what_waits(tmp_path):
-    here = {**told(1, 3), "peer_listen": None}
     channel = {"egress_per_s": 50.0, "most_waiting": 100.0, "proxy_count": 9}
-    there = {**here, "settings": {"zones": ["x", "y"], "classes": [{"name": "other"}], "balancers": 3,
+    there = {**HERE, "settings": {"zones": ["x", "y"], "classes": [{"name": "other"}], "balancers": 3,
                                   "family_info": channel}}
-    files = [config.checked(there)]
-    with open(tmp_path / "log", "wb") as log, open(tmp_path / "log2", "wb") as log2:
-        service = Service(config.checked(here), log.fileno(), reread=lambda: files[-1])
-        beside = Service(config.checked(here), log2.fileno())
+    with serving(tmp_path) as service, serving(tmp_path) as beside:
+        service.reread = lambda: config.checked(there)
         service.reload()
         service.turn(0)
         beside.turn(0)
@@ -516,5 +502,3 @@
         # What the other service in this process holds is its own
         assert (other.channel.pace, other.channel.limit) == (20000, 400000)
         assert beside.streams.zones == {"z0", "z1", "z2"} and beside.streams.proxies_expected == 8192
-        service.close()
-        beside.close()
