--- a/granitespool/facade.py
+++ b/granitespool/facade.py
@@ -122,7 +122,7 @@
         return {"joined": len(planner.proxies), "unbound": len(planner.unbound), "waiting": channel.waiting,
                 "limit": channel.limit, "pace": channel.pace, "met": channel.met, "ordered": channel.ordered,
                 "lag": planner.lag, "strained": planner.strained, "room": planner.room,
-                "through": planner.through, "hands": planner.hands.count, "reports": self.reports,
+                "through": planner.through, "subsets": planner.subsets.count, "reports": self.reports,
                 "cut": sum(link.cut_at is not None and not link.spare for link in links),
                 "last_resort": sum(link.cut_at is not None and link.spare for link in links)}
 
--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from granitespool.channel import Channel
-from granitespool.routing.hands import Hands
+from granitespool.routing.subsets import Subsets
 
 SECOND = 1_000_000_000  # ns
 ALPHA = 0.5             # per percent: steepness of f(u), the paper's
@@ -78,7 +78,7 @@
     def __init__(self, backend, now):
         self.id, self.zone, self.kind, self.phase = backend, None, None, "gone"
         self.listed, self.started, self.ramp_from, self.probed_at = 1.0, 0, None, -PERIOD
-        self.links, self.sent, self.hand = defaultdict(Link), {}, None  # hand: where the fleet is dealt
+        self.links, self.sent, self.subset = defaultdict(Link), {}, None  # subset: where the fleet is split
         self.tried = self.missed = self.done = self.spent = 0.0
         self.missing, self.proven, self.gone_at = False, True, now  # gone by the list alone; answers; when
 
@@ -89,8 +89,8 @@
         self.new_settings(now, settings)
         self.backends, self.proxies, self.average = {}, {}, {}  # id -> Backend, (table, rate); zone -> ns
         self.unbound, self.flushed_at = {}, -1    # proxy yet to be bound -> (others' lines it holds, since)
-        self.hands = Hands(settings.get("zones") or [])
-        self.tables = self.hands.tables           # zone -> its tables, one for each hand of the fleet
+        self.subsets = Subsets(settings.get("zones") or [])
+        self.tables = self.subsets.tables         # zone -> its tables, one for each subset of the fleet
         self.lines, self.users = Counter(), defaultdict(dict)  # table -> its lines; proxies bound to it
         self.levels, self.slices = defaultdict(dict), {}  # table -> {class: as sent}; slice held -> lines
         self.next_flush = self.next_alarm = self.flush_due = self.lag = self.shut_at = self.doubt = 0
@@ -115,7 +115,7 @@
         for rec in [rec for rec in self.backends.values() if form != "changes" and rec.id not in seen]:
             self._entry(now, rec.id, rec.zone, rec.kind, None, "gone", rec.listed, 0)
         self.listed_once = True
-        self.hands.deal(self.settings, self.channel, self.backends.values())
+        self.subsets.assign(self.settings, self.channel, self.backends.values())
         self._flush(now)
 
     def _entry(self, now, backend, zone, kind, cell, phase, weight, started):
@@ -249,7 +249,7 @@
         rec = self.backends.get(backend)
         if rec is None or tries <= 0:
             return
-        link = rec.links[self.hands.know(zone)]
+        link = rec.links[self.subsets.know(zone)]
         answered = max(0, tries - failed) if mean > 0 else 0
         if answered:
             self._prove(now, rec)
@@ -282,7 +282,7 @@
     def _cut(self, now, zone, rec):
         # Past the cap a server stays as a last resort: a few tries tell when it heals, or all weigh alike
         ready = [each.links[zone] for each in self.backends.values()
-                 if each.phase == "ready" and each.hand == rec.hand]
+                 if each.phase == "ready" and each.subset == rec.subset]
         out = sum(1 for each in ready if each.cut_at is not None and not each.spare)
         link = rec.links[zone]
         link.spare, link.cut_at = (out + 1) * CUT_SHARE > len(ready), now
@@ -290,7 +290,7 @@
     def _prove(self, now, rec):
         if not rec.proven:
             rec.proven, rec.ramp_from = True, now
-            self.hands.deal(self.settings, self.channel, self.backends.values())
+            self.subsets.assign(self.settings, self.channel, self.backends.values())
             self._flush(now, rec)
 
     def _probe(self, now, rec, at_once=False):
@@ -325,7 +325,7 @@
 
     def joined(self, now, proxy, zone, standing, rate, again=False):  # again: on the stream that was silent
         self.left(now, proxy, again)
-        self.proxies[proxy] = table, _ = self.hands.join(zone, rate, self.channel), rate
+        self.proxies[proxy] = table, _ = self.subsets.join(zone, rate, self.channel), rate
         if self.settings.get("slices"):
             for rec in self.backends.values():
                 rec.sent.pop("out", None)         # what was shut out before did not reach this one
@@ -340,7 +340,7 @@
         if proxy in self.proxies:
             table, rate = self.proxies.pop(proxy)
             self.users[table].pop(proxy, None)
-            self.hands.left(table, rate)
+            self.subsets.left(table, rate)
         self.unbound.pop(proxy, None)
         if not silent:
             self.channel.left(proxy)
@@ -472,7 +472,7 @@
     def _moves(self, now, only):
         """Lines that differ from the wanted tables, ranked: a rule's by age, others by the weight moved."""
         self.bare = not any(rec.phase == "ready" and rec.proven for rec in self.backends.values())
-        for rec, zone, table, holds in self.hands.lines_of((only,) if only else self.backends.values()):
+        for rec, zone, table, holds in self.subsets.lines_of((only,) if only else self.backends.values()):
             want, sent = self._want(now, rec, zone) if holds else 0.0, rec.sent.get(table, 0.0)
             less, moved = want < sent * (1 - RESEND), abs(want - sent)
             cut = rec.links[zone].cut_at is not None
--- a/tests/test_hands.py
+++ b/tests/test_subsets.py
@@ -1,4 +1,4 @@
-"""How the fleet is dealt into hands, and what that gains where the channel is slow."""
+"""How the fleet is split into subsets, and what that gains where the channel is slow."""
 from types import SimpleNamespace
 
 import pytest
@@ -7,7 +7,7 @@
 from storm import SECOND, Storm
 
 from granitespool.channel import Channel
-from granitespool.routing.hands import LEAST, REDEAL, UNEVEN, Hands
+from granitespool.routing.subsets import LEAST, RESPLIT, UNEVEN, Subsets
 
 SLOW = {"lines_per_s": 800.0, "backlog_limit": 28000.0, "message_head": 3.0, "drain_grace": 36 * SECOND,
         "proxies_expected": 1500, "planners": 5, "classes": [{"name": "a"}]}
@@ -21,10 +21,10 @@
 
 def server(number, phase="ready", zones=3):
     return SimpleNamespace(id=number, zone=f"z{number % zones}", kind=f"k{number % 2}", phase=phase,
-                           hand=None, sent={}, proven=True)
+                           subset=None, sent={}, proven=True)
 
 
-@pytest.mark.parametrize("change, fleet, hands", [
+@pytest.mark.parametrize("change, fleet, subsets", [
     ({}, 200, 12), ({}, 2000, 125), ({}, 30, 1), ({}, 48, 3),
     ({"lines_per_s": 1e6}, 200, 1),                   # the channel carries whole tables
     ({"lines_per_s": 16000.0}, 200, 1), ({"lines_per_s": 5300.0}, 200, 1), ({"lines_per_s": 4000.0}, 200, 3),
@@ -34,72 +34,73 @@
     ({"planners": 230}, 200, 1),                      # few proxies a coordinator, whichever of them die
     ({"planners": 1, "proxies_expected": 20}, 200, 1),
     ({"drain_grace": None}, 200, 1), ({"lines_per_s": None}, 200, 1), ({"slices": 4}, 200, 1)])
-def test_hands_follow_the_channel(change, fleet, hands):
+def test_subsets_follow_the_channel(change, fleet, subsets):
     told = {name: value for name, value in {**SLOW, **change}.items() if value is not None}
     servers = [server(number) for number in range(fleet)]
-    dealt = Hands([])
-    dealt.deal(told, channel_of(told), servers)  # figures such as a head of 3.0 give no broken hands
-    assert dealt.count == hands and {rec.hand for rec in servers} == set(range(hands))
+    split = Subsets([])
+    split.assign(told, channel_of(told), servers)  # figures such as a head of 3.0 give no broken subsets
+    assert split.count == subsets and {rec.subset for rec in servers} == set(range(subsets))
 
 
 @settings(max_examples=60, deadline=None, derandomize=True)
 @given(st.lists(st.sets(st.integers(0, 399), min_size=1, max_size=300), min_size=1, max_size=8))
-def test_each_ready_server_is_in_one_hand_and_hands_stay_even(fleets):
-    hands, servers = Hands(["z0", "z1", "z2"]), {number: server(number) for number in range(400)}
+def test_each_ready_server_is_in_one_subset_and_subsets_stay_even(fleets):
+    subsets, servers = Subsets(["z0", "z1", "z2"]), {number: server(number) for number in range(400)}
     for ready in fleets:
         for number, rec in servers.items():
             rec.phase = "ready" if number in ready else "gone"
-        count = hands.count if hands.dealt_for / REDEAL <= len(ready) <= hands.dealt_for * REDEAL else None
-        hands.deal(SLOW, channel_of(SLOW), servers.values())
-        assert count in (None, hands.count)
-        held = [[rec for rec in servers.values() if rec.hand == hand] for hand in range(hands.count)]
+        same = subsets.split_for / RESPLIT <= len(ready) <= subsets.split_for * RESPLIT
+        count = subsets.count if same else None
+        subsets.assign(SLOW, channel_of(SLOW), servers.values())
+        assert count in (None, subsets.count)
+        held = [[rec for rec in servers.values() if rec.subset == subset] for subset in range(subsets.count)]
         assert sum(map(len, held)) == len(ready)
         assert max(map(len, held)) <= UNEVEN * min(map(len, held)) + 1
-        assert hands.count == 1 or min(map(len, held)) >= LEAST / REDEAL / UNEVEN - 1
+        assert subsets.count == 1 or min(map(len, held)) >= LEAST / RESPLIT / UNEVEN - 1
 
 
 def test_a_list_that_names_what_is_not_there_deals_nothing_anew():
-    # 66 names beside 96 servers: all were dealt anew in the middle of a release, and half refused after
-    hands, servers = Hands(["z0"]), [server(number) for number in range(96)]
-    hands.deal(SLOW, channel_of(SLOW), servers)
-    held, named = [rec.hand for rec in servers], [server(number) for number in range(96, 162)]
+    # 66 names beside 96 servers: all were split anew in the middle of a release, and half refused after
+    subsets, servers = Subsets(["z0"]), [server(number) for number in range(96)]
+    subsets.assign(SLOW, channel_of(SLOW), servers)
+    held, named = [rec.subset for rec in servers], [server(number) for number in range(96, 162)]
     for rec in named:
         rec.proven = False
-    hands.deal(SLOW, channel_of(SLOW), servers + named)
-    assert [rec.hand for rec in servers] == held and not any(rec.hand is not None for rec in named)
+    subsets.assign(SLOW, channel_of(SLOW), servers + named)
+    assert [rec.subset for rec in servers] == held and not any(rec.subset is not None for rec in named)
     named[0].proven = True
-    hands.deal(SLOW, channel_of(SLOW), servers + named)
-    assert named[0].hand is not None and named[1].hand is None
+    subsets.assign(SLOW, channel_of(SLOW), servers + named)
+    assert named[0].subset is not None and named[1].subset is None
 
 
 def test_neither_a_lost_zone_nor_its_return_deals_anew():
-    hands, servers = Hands(["z0"]), [server(number, zones=2) for number in range(200)]
-    hands.deal(SLOW, channel_of(SLOW), servers)
-    held = [rec.hand for rec in servers]
+    subsets, servers = Subsets(["z0"]), [server(number, zones=2) for number in range(200)]
+    subsets.assign(SLOW, channel_of(SLOW), servers)
+    held = [rec.subset for rec in servers]
     for phase in ("gone", "ready"):
         for rec in servers[::2]:
             rec.phase = phase
-        hands.deal(SLOW, channel_of(SLOW), servers)
-        assert [rec.hand for rec in servers[1::2]] == held[1::2]
+        subsets.assign(SLOW, channel_of(SLOW), servers)
+        assert [rec.subset for rec in servers[1::2]] == held[1::2]
 
 
-def test_hands_hold_like_servers():
-    hands, servers = Hands(["z0"]), [server(number) for number in range(192)]
-    hands.deal(SLOW, channel_of(SLOW), servers)
-    for hand in range(hands.count):
-        held = [rec for rec in servers if rec.hand == hand]
+def test_subsets_hold_like_servers():
+    subsets, servers = Subsets(["z0"]), [server(number) for number in range(192)]
+    subsets.assign(SLOW, channel_of(SLOW), servers)
+    for subset in range(subsets.count):
+        held = [rec for rec in servers if rec.subset == subset]
         assert {(zone, kind): sum(1 for rec in held if (rec.zone, rec.kind) == (zone, kind)) for zone, kind in
                 {(rec.zone, rec.kind) for rec in held}} == {
                     (f"z{z}", f"k{k}"): pytest.approx(16 / 6, abs=1) for z in range(3) for k in range(2)}
 
 
 def test_joiners_share_the_tables_and_a_crowded_one_gets_a_copy():
-    hands, channel = Hands(["z0"]), channel_of({**SLOW, "backlog_limit": 100.0})
-    tables = [hands.join("z0", 1.0, channel) for _ in range(25)]
+    subsets, channel = Subsets(["z0"]), channel_of({**SLOW, "backlog_limit": 100.0})
+    tables = [subsets.join("z0", 1.0, channel) for _ in range(25)]
     assert tables == [0] * 10 + [1] * 10 + [2] * 5  # ten users are half of the queue
     for table in tables:
-        hands.left(table, 1.0)
-    assert not any(hands.loads.values()) and not any(hands.proxies.values())
+        subsets.left(table, 1.0)
+    assert not any(subsets.loads.values()) and not any(subsets.proxies.values())
 
 
 def slow_fleet(proxies, backends=200):
