--- a/granitespool/routing/subsets.py
+++ b/granitespool/routing/subsets.py
@@ -3,8 +3,8 @@
 The design's table holds the whole fleet. Where a coordinator's channel needs so long to carry that to its
 own proxies that it is outdated on arrival, or that a drain's grace is over before (its own proxies come back
 all at once after its restart, and what was on its way to them is lost), the fleet is split into subsets of
-like servers; a table holds one of them: it costs its part of the lines, and so does a drain. A coordinator may
-have to take the proxies of others that died, and each that joins has the drain's grace until the table it
+like servers; a table holds one of them: it costs its part of the lines, and so does a drain. A coordinator
+may have to take the proxies of others that died, and each that joins has the drain's grace until the table it
 came with must be right: that sizes the subsets. One subset is the whole fleet, and then nothing is split. A
 table has copies where more proxies use it than one line could reach.
 """
