--- a/tests/test_vast.py
+++ b/tests/test_vast.py
@@ -160,3 +160,26 @@
             table, out = storm.holds[proxy]
             assert set(table) - out, "a proxy without a backend"
             assert not set(table) - out - set(storm.ready), "a drained backend is held"
+
+
+def test_reports_past_the_intake_add_up_and_decide_as_all_of_them_would():
+    # A third of the reports comes each second, the rest with what adds up meanwhile: nobody is judged by who
+    # came first, and three seconds late is no change of weights
+    whole, part = (Storm(30, 1, lines_per_s=1e6, backlog_limit=1e6) for _ in range(2))
+    for storm in (whole, part):
+        storm.join(0)
+    for second in range(45):
+        for storm in (whole, part):
+            for number, name in enumerate(storm.ready):
+                if storm is part and number % 3 != second % 3:
+                    continue
+                times = 3 if storm is part else 1
+                storm.coordinator.report(
+                    storm.now, "heard", zone="z0", backend=name, tries=20 * times, window=times * SECOND,
+                    load={}, failed=(number % 5 == 0) * 2 * times, mean=SECOND // 10 * (1 + number % 4))
+            storm.run(1)
+    (met, _), (expected, _) = part.holds[0], whole.holds[0]
+    assert set(met) == set(expected) == set(whole.ready)
+    for name, weight in expected.items():
+        assert met[name] == pytest.approx(weight, rel=0.15), name
+    assert max(expected.values()) > 2.5 * min(expected.values())
