The docstring of the state's memory lists its calls in order

Cause: a former re-wrap had run its lines of code together, and the formatter would have changed the text. Change: the calls as a numbered list. No code changed.

--- a/granitespool/state/memory.py
+++ b/granitespool/state/memory.py
@@ -1,10 +1,13 @@
-"""What a coordinator's memory does at a start and in between, without a disk, a thread or a loop; no I/O.
+"""What a coordinator remembers at a start and in between, without a disk, a thread or a loop; no I/O.
 
-    memory = Memory(options, identity)
-    carried = memory.opened(found, kept, why, clocks)     # once: what the folder held, as far as it could be
-    read known = memory.first_list(known)                      # the list to start from belief =
-    memory.recall(coordinator, now, clocks)      # after that list was reported changes =
-    memory.changes(coordinator, addresses, index, now, names, last)   # again and again"""
+The calls, in order:
+
+1. `Memory(options, identity)`.
+2. `opened(found, kept, why, clocks)`, once: what the folder held, as far as it could be read.
+3. `first_list(known)`: the list to start from.
+4. `recall(coordinator, now, clocks)`, after that list was reported: the belief.
+5. `changes(coordinator, addresses, index, now, names, last)`, again and again.
+"""
 from granitespool.state import record, trust
 from granitespool.state.ledger import Ledger
 
