--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 
 lint: build
 	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
 	$(BIN)/pyang --strict --lint granitespool/manage/granitespool.yang
 
 run: build
--- a/bench/days.py
+++ b/bench/days.py
@@ -5,6 +5,7 @@
     python -m bench.days --before=DIR after/*.json     beside the files of the same names in another folder
 
 A file of a score has a row for each of its days. Exit code 1 where a rule broke or a play ended early."""
+
 import json
 import sys
 from pathlib import Path
@@ -53,8 +54,9 @@
     if play["fault"]:
         return ""
     seen = play["real"]["seen"]
-    return ", ".join(f"{each:.1f}" for each in (seen["start_s"], max(seen["restart_s"], default=None))
-                     if each is not None)
+    return ", ".join(
+        f"{each:.1f}" for each in (seen["start_s"], max(seen["restart_s"], default=None)) if each is not None
+    )
 
 
 def rows(files, before=None):
@@ -65,8 +67,14 @@
         other = before and Path(before) / Path(path).name
         former = plays(other) if other and other.exists() else {}
         for (day, seed), play in plays(path).items():
-            yield (f"{day} {seed}", *([result(former.get((day, seed)))] if before else []), result(play),
-                   f"{play['row']['served_least']:.3f}", nearest(play), started(play))
+            yield (
+                f"{day} {seed}",
+                *([result(former.get((day, seed)))] if before else []),
+                result(play),
+                f"{play['row']['served_least']:.3f}",
+                nearest(play),
+                started(play),
+            )
 
 
 def main(words):
--- a/bench/log.py
+++ b/bench/log.py
@@ -4,6 +4,7 @@
 
 Both run in turns within one process, so that noise of the machine hits both; the median of the rounds is
 told."""
+
 import os
 import statistics
 import sys
@@ -13,7 +14,7 @@
 
 from granitespool.net.log import MOST, MS, WORD, Log
 
-ROUNDS = 9      # of each, in turns
+ROUNDS = 9  # of each, in turns
 LINES = 20_000  # of a round
 FIELDS = {"backend": "s-5be2a07c", "status": "ok", "ms": 12}  # the service's most frequent line, a probe's
 
@@ -26,8 +27,11 @@
 
     def event(self, name, **fields):
         fields = {key: value[-WORD:] if isinstance(value, str) else value for key, value in fields.items()}
-        line = orjson.dumps({"at_ms": self.clock() // MS, "event": name, **self.always, **fields},
-                            default=str, option=orjson.OPT_APPEND_NEWLINE)
+        line = orjson.dumps(
+            {"at_ms": self.clock() // MS, "event": name, **self.always, **fields},
+            default=str,
+            option=orjson.OPT_APPEND_NEWLINE,
+        )
         if self.size + len(line) > MOST:
             self.dropped += 1
         else:
@@ -50,8 +54,10 @@
     now = Log(os.open(os.devnull, os.O_WRONLY), time.time_ns, name="n0")
     rounds = [(timed(plain, lines), timed(now, lines)) for _ in range(ROUNDS)]
     before, after = (statistics.median(column) for column in zip(*rounds))
-    print(f"a line: orjson alone {before:.2f} us, structlog over orjson {after:.2f} us "
-          f"({after / before:.2f} times)")
+    print(
+        f"a line: orjson alone {before:.2f} us, structlog over orjson {after:.2f} us "
+        f"({after / before:.2f} times)"
+    )
 
 
 if __name__ == "__main__":
--- a/bench/ready.py
+++ b/bench/ready.py
@@ -5,6 +5,7 @@
 All proxies dial at once and dial again whenever they are refused, beside strangers that say nothing; then the
 process is ended by SIGTERM and started anew, again and again. Exit code 1 where fewer than nine in ten were
 ready within the limit."""
+
 import json
 import os
 import select
@@ -28,23 +29,49 @@
   --strangers=N  connections that say nothing    [default: 200]
   --backends=N   backends in the list            [default: 200]
   --limit=S      seconds within which it counts as ready  [default: 10]"""
-PART = 0.9            # of the starts have to be ready within the limit
-GIVEN_UP = 60.0       # s after which a start is a failure
-AGAIN = 0.01          # s between two diallings of one party
+PART = 0.9  # of the starts have to be ready within the limit
+GIVEN_UP = 60.0  # s after which a start is a failure
+AGAIN = 0.01  # s between two diallings of one party
 
 
 def configuration(listen, proxies, backends, sockets):
-    return {"name": "ready", "listen": "{}:{}".format(*listen), "discovery": "127.0.0.1:9", "seed": "1",
-            "limits": {"sockets": sockets, "memory_mb": 192},
-            "known": {"index": 1, "snapshot": True, "endpoints": [
-                {"name": f"s{n}", "address": f"127.2.{n // 250}.{n % 250}:80", "zone": f"z{n % 3}",
-                 "type": "m", "group": n // 8, "status": "ready", "weight": 1.0, "since_ms": 0}
-                for n in range(backends)]},
-            "settings": {"zones": ["z0", "z1", "z2"], "balancers": 5,
-                         "classes": [{"name": "a", "aim_us": 1000000}],
-                         "family_info": {"egress_per_s": 900.0, "most_waiting": 4400.0, "envelope": 3.0,
-                                         "proxy_count": proxies, "admit": "fraction"},
-                         "rules": {"stop_sending_within_us": 6200000}}}
+    return {
+        "name": "ready",
+        "listen": "{}:{}".format(*listen),
+        "discovery": "127.0.0.1:9",
+        "seed": "1",
+        "limits": {"sockets": sockets, "memory_mb": 192},
+        "known": {
+            "index": 1,
+            "snapshot": True,
+            "endpoints": [
+                {
+                    "name": f"s{n}",
+                    "address": f"127.2.{n // 250}.{n % 250}:80",
+                    "zone": f"z{n % 3}",
+                    "type": "m",
+                    "group": n // 8,
+                    "status": "ready",
+                    "weight": 1.0,
+                    "since_ms": 0,
+                }
+                for n in range(backends)
+            ],
+        },
+        "settings": {
+            "zones": ["z0", "z1", "z2"],
+            "balancers": 5,
+            "classes": [{"name": "a", "aim_us": 1000000}],
+            "family_info": {
+                "egress_per_s": 900.0,
+                "most_waiting": 4400.0,
+                "envelope": 3.0,
+                "proxy_count": proxies,
+                "admit": "fraction",
+            },
+            "rules": {"stop_sending_within_us": 6200000},
+        },
+    }
 
 
 class Crowd(threading.Thread):
@@ -103,8 +130,10 @@
     """The times that so many starts under a storm took, None for one that was not ready."""
     with socket.create_server(("127.0.0.1", 0)) as free:
         where = free.getsockname()
-    joinings = [frame({"type": "joined", "node": n, "locality": f"z{n % 3}", "w": 5.0, "cold": False})
-                for n in range(proxies)]
+    joinings = [
+        frame({"type": "joined", "node": n, "locality": f"z{n % 3}", "w": 5.0, "cold": False})
+        for n in range(proxies)
+    ]
     crowd, took = Crowd(where, joinings + [b""] * strangers), []
     with tempfile.TemporaryDirectory() as folder:
         path = os.path.join(folder, "config.json")
@@ -113,14 +142,19 @@
         crowd.start()
         try:
             for number in range(times):
-                with subprocess.Popen([sys.executable, "-m", "granitespool", "serve", "--config", path],
-                                      stdout=subprocess.DEVNULL) as process:
+                with subprocess.Popen(
+                    [sys.executable, "-m", "granitespool", "serve", "--config", path],
+                    stdout=subprocess.DEVNULL,
+                ) as process:
                     took.append(first_pong(where, process))
                     time.sleep(AGAIN)
                     process.send_signal(signal.SIGTERM)
                     code = process.wait(GIVEN_UP)
-                tell(f"start {number + 1}: " + ("not ready" if took[-1] is None else f"{took[-1]:.2f} s")
-                     + ("" if code == 0 else f", ended with {code}"))
+                tell(
+                    f"start {number + 1}: "
+                    + ("not ready" if took[-1] is None else f"{took[-1]:.2f} s")
+                    + ("" if code == 0 else f", ended with {code}")
+                )
         finally:
             crowd.ended.set()
             crowd.join()
--- a/bench/sites.py
+++ b/bench/sites.py
@@ -5,6 +5,7 @@
 A file of differences holds just what is other (docs/sites.md). It may name no key that the site has not, nor
 give one another type. Beside the variant stand copies of the files that the bench reads there. With --bench
 that program is asked whether it takes the variant; its reason is told where it does not."""
+
 import shutil
 import subprocess
 import sys
@@ -59,13 +60,18 @@
             raise Wrong(f"{path}: the key {at!r} holds {kind(value)}, and the site has {kind(known)} there")
         if kind(known) == "a table":
             result[key] = laid(known, value, path, (*where, key))
-        elif kind(known) == "a list of tables":   # as many as are named, each over the site's at its place
+        elif kind(known) == "a list of tables":  # as many as are named, each over the site's at its place
             every = {name: each for entry in known for name, each in entry.items()}
             result[key] = [
-                {name: each for name, each in laid({**every, **known[min(at, len(known) - 1)]}, entry, path,
-                                                   (*where, f"{key}[{at}]")).items()
-                 if name in entry or name in known[min(at, len(known) - 1)]}
-                for at, entry in enumerate(value)]
+                {
+                    name: each
+                    for name, each in laid(
+                        {**every, **known[min(at, len(known) - 1)]}, entry, path, (*where, f"{key}[{at}]")
+                    ).items()
+                    if name in entry or name in known[min(at, len(known) - 1)]
+                }
+                for at, entry in enumerate(value)
+            ]
         else:
             result[key] = value
     return result
--- a/bench/state.py
+++ b/bench/state.py
@@ -7,6 +7,7 @@
 stall   the loop's longest turn while each sync takes 200 ms, without and with a store
 close   the last snapshot at the end of the process
 memory  resident memory over an hour of virtual time with new names each second"""
+
 import gc
 import os
 import random
@@ -26,10 +27,10 @@
 
 SECOND = 1_000_000_000
 MB = 1 << 20
-BEGAN = 10**18        # ns: the virtual clock begins here
-SYNC = 0.2            # s that each sync takes in `stall`
-STALL_FOR = 8         # s of each run of `stall`
-BYTES_FOR = 40        # s of each run of `bytes`
+BEGAN = 10**18  # ns: the virtual clock begins here
+SYNC = 0.2  # s that each sync takes in `stall`
+STALL_FOR = 8  # s of each run of `stall`
+BYTES_FOR = 40  # s of each run of `bytes`
 PROGRAM = "bench"
 
 
@@ -55,12 +56,20 @@
         return name
 
     def entry(self, name, phase="ready"):
-        return {"backend": name, "zone": "z0", "kind": "m", "cell": 0, "phase": phase, "weight": 1.0,
-                "started": 0}
+        return {
+            "backend": name,
+            "zone": "z0",
+            "kind": "m",
+            "cell": 0,
+            "phase": phase,
+            "weight": 1.0,
+            "started": 0,
+        }
 
     def list(self, coordinator, now):
-        coordinator.report(now, "list_news", form="restored",
-                           entries=[self.entry(name) for name in self.names])
+        coordinator.report(
+            now, "list_news", form="restored", entries=[self.entry(name) for name in self.names]
+        )
 
     def report(self, coordinator, now, part=slice(None)):
         """One report of each zone about each backend."""
@@ -68,8 +77,17 @@
             for zone in self.zones:
                 tries = self.random.randint(5, 15)
                 failed = sum(self.random.random() < 0.1 for _ in range(tries)) if fails else 0
-                coordinator.report(now, "heard", zone=zone, backend=name, tries=tries, failed=failed,
-                                   mean=int(mean * self.random.gauss(1, 0.1)), window=SECOND, load={})
+                coordinator.report(
+                    now,
+                    "heard",
+                    zone=zone,
+                    backend=name,
+                    tries=tries,
+                    failed=failed,
+                    mean=int(mean * self.random.gauss(1, 0.1)),
+                    window=SECOND,
+                    load={},
+                )
 
 
 def memory_mb():
@@ -96,8 +114,12 @@
         for _ in range(churn):
             new, old = fleet.add(), next(iter(fleet.names))
             del fleet.names[old]
-            coordinator.report(now, "list_news", form="changes", entries=[
-                {**fleet.entry(new), "started": now}, fleet.entry(old, "gone")])
+            coordinator.report(
+                now,
+                "list_news",
+                form="changes",
+                entries=[{**fleet.entry(new), "started": now}, fleet.entry(old, "gone")],
+            )
         fleet.report(coordinator, now)
         for half in (now, now + SECOND // 2):
             coordinator.tick(half)
@@ -126,16 +148,32 @@
         carried = time.perf_counter()
         known = memory.first_list({"index": -1})
         listed = time.perf_counter()
-        coordinator.report(now, "list_news", form="restored", entries=[
-            {"backend": each["name"], "zone": each["zone"], "kind": each["type"], "cell": 0, "phase": "ready",
-             "weight": 1.0, "started": 0} for each in known["endpoints"]])
+        coordinator.report(
+            now,
+            "list_news",
+            form="restored",
+            entries=[
+                {
+                    "backend": each["name"],
+                    "zone": each["zone"],
+                    "kind": each["type"],
+                    "cell": 0,
+                    "phase": "ready",
+                    "weight": 1.0,
+                    "started": 0,
+                }
+                for each in known["endpoints"]
+            ],
+        )
         told = time.perf_counter()
         belief = memory.recall(coordinator, now, trust.Clocks(now, now))
         done = time.perf_counter()
-    print(f"open: 1,000 backends x 10 zones, {size / 1e6:.2f} MB, {opened.found.frames} frames: read "
-          f"{1e3 * (read - begun):.0f} ms, checked and carried {1e3 * (carried - read):.0f} ms, recalled "
-          f"{1e3 * (done - told):.0f} ms ({belief.links} links); "
-          f"the list itself {1e3 * (told - listed):.0f} ms")
+    print(
+        f"open: 1,000 backends x 10 zones, {size / 1e6:.2f} MB, {opened.found.frames} frames: read "
+        f"{1e3 * (read - begun):.0f} ms, checked and carried {1e3 * (carried - read):.0f} ms, recalled "
+        f"{1e3 * (done - told):.0f} ms ({belief.links} links); "
+        f"the list itself {1e3 * (told - listed):.0f} ms"
+    )
 
 
 def measure_bytes():
@@ -143,8 +181,10 @@
         with tempfile.TemporaryDirectory() as folder:
             *_, store = played(folder, backends, zones, BYTES_FOR)
             size = sum(os.stat(entry).st_size for entry in os.scandir(folder))
-            print(f"bytes: {backends} backends x {zones} zones, {store.written / BYTES_FOR / 1e3:.1f} KB a "
-                  f"second, folder {size / 1e3:.0f} KB after {BYTES_FOR} s")
+            print(
+                f"bytes: {backends} backends x {zones} zones, {store.written / BYTES_FOR / 1e3:.1f} KB a "
+                f"second, folder {size / 1e3:.0f} KB after {BYTES_FOR} s"
+            )
 
 
 class SlowFolder(Folder):
@@ -177,8 +217,15 @@
     fleet.list(coordinator, loop.now)
     keeper = None
     if folder:
-        keeper = Keeper(loop, Quiet(), State(folder=folder, every_ms=1000), "n0", settings(zones),
-                        time.monotonic_ns, SlowFolder(folder))
+        keeper = Keeper(
+            loop,
+            Quiet(),
+            State(folder=folder, every_ms=1000),
+            "n0",
+            settings(zones),
+            time.monotonic_ns,
+            SlowFolder(folder),
+        )
         keeper.start(coordinator, Listed(fleet))
     pieces, times, end = 50, [], loop.now + STALL_FOR * SECOND
 
@@ -187,6 +234,7 @@
             for k in range(pieces):
                 fleet.report(coordinator, loop.now, slice(k, None, pieces))
                 yield None, 0, loop.now + SECOND // pieces
+
     loop.spawn(reports())
     gc.collect()
     gc.disable()
@@ -208,10 +256,12 @@
         without = stalls(backends, zones, None)
         with tempfile.TemporaryDirectory() as folder:
             with_store = stalls(backends, zones, folder)
-        print(f"stall: {backends} backends x {zones} zones, each sync {SYNC * 1e3:.0f} ms: longest turn "
-              f"{without[0]:.1f} ms without a store, {with_store[0]:.1f} ms with; 99.9 % "
-              f"{without[1]:.1f} and {with_store[1]:.1f} ms; mean {without[2]:.2f} and "
-              f"{with_store[2]:.2f} ms")
+        print(
+            f"stall: {backends} backends x {zones} zones, each sync {SYNC * 1e3:.0f} ms: longest turn "
+            f"{without[0]:.1f} ms without a store, {with_store[0]:.1f} ms with; 99.9 % "
+            f"{without[1]:.1f} and {with_store[1]:.1f} ms; mean {without[2]:.2f} and "
+            f"{with_store[2]:.2f} ms"
+        )
 
 
 def measure_close():
@@ -228,8 +278,10 @@
         found, _ = read_back(Folder(folder), 64 * MB)
     loop.close()
     links = sum(len(each) for _, each in found.kept.backends.values()) if found.kept else 0
-    print(f"close: last snapshot of 1,000 backends x 10 zones, all of it new: {1e3 * took:.0f} ms, "
-          f"{links} links")
+    print(
+        f"close: last snapshot of 1,000 backends x 10 zones, all of it new: {1e3 * took:.0f} ms, "
+        f"{links} links"
+    )
 
 
 def measure_memory():
@@ -239,16 +291,24 @@
         if second in (300, 1200, 2400, 3599):
             gc.collect()
             seen[second] = memory_mb()
+
     with tempfile.TemporaryDirectory() as folder:
         played(folder, 30, 2, 3600, churn=1, look=look)
         size = sum(os.stat(entry).st_size for entry in os.scandir(folder))
-    print("memory: 30 backends x 2 zones, a new name a second: "
-          + ", ".join(f"{mb:.1f} MB at {second} s" for second, mb in seen.items())
-          + f"; folder {size / 1e3:.0f} KB")
-
-
-MEASURES = {"open": measure_open, "bytes": measure_bytes, "stall": measure_stall, "close": measure_close,
-            "memory": measure_memory}
+    print(
+        "memory: 30 backends x 2 zones, a new name a second: "
+        + ", ".join(f"{mb:.1f} MB at {second} s" for second, mb in seen.items())
+        + f"; folder {size / 1e3:.0f} KB"
+    )
+
+
+MEASURES = {
+    "open": measure_open,
+    "bytes": measure_bytes,
+    "stall": measure_stall,
+    "close": measure_close,
+    "memory": measure_memory,
+}
 
 if __name__ == "__main__":
     for what in sys.argv[1:] or MEASURES:
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -7,6 +7,7 @@
 discovery tells that another backend drains. It ends by itself after eight seconds. No load is made: what the
 proxy reports is made up. The parts are coroutines on the project's own loop, as a program that embeds it
 would have them."""
+
 import json
 import pathlib
 import socket
@@ -72,7 +73,7 @@
                         line = json.dumps(news).encode() + b"\n"
                     yield from send(sock, b"%x\r\n%s\r\n" % (len(line), line), None)
             except OSError:
-                return           # the coordinator has ended
+                return  # the coordinator has ended
 
     def backend(self, sock):
         with sock:
@@ -84,8 +85,9 @@
     def proxy(self):
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK) as sock:
             yield from dial(sock, address(CONFIG["listen"]), self.loop.now + SECOND)
-            yield from send(sock, frame({"type": "joined", "node": 0, "locality": "north", "w": 20.0,
-                                         "cold": True}), None)
+            yield from send(
+                sock, frame({"type": "joined", "node": 0, "locality": "north", "w": 20.0, "cold": True}), None
+            )
             self.say("the proxy joined")
             reader, reported = Reader(Pool(64), LARGEST), self.loop.now
             while self.loop.now - self.begun < END_AT:
@@ -100,8 +102,11 @@
                     for message in reader.messages():
                         yield from send(sock, self.apply(message), None)
             reader.close()
-        self.say("the end: {} tables came, {} is {}".format(
-            self.seen, DRAINS, "still in the table" if DRAINS in self.table else "out of the table"))
+        self.say(
+            "the end: {} tables came, {} is {}".format(
+                self.seen, DRAINS, "still in the table" if DRAINS in self.table else "out of the table"
+            )
+        )
         self.code = 0 if self.seen and DRAINS not in self.table else 1
         self.loop.stop()
 
@@ -114,20 +119,39 @@
             self.seen += 1
             self.say("table: " + "  ".join(f"{b} {w:g}" for b, w in sorted(self.table.items())))
         if "level" in message:
-            self.say(f"level {message['level']:g}, retry {message['retry']} for "
-                     + ", ".join(message.get("classes", ["all classes"])))
+            self.say(
+                f"level {message['level']:g}, retry {message['retry']} for "
+                + ", ".join(message.get("classes", ["all classes"]))
+            )
         if "ticket" in message:
             return frame({"type": "applied", "node": 0, "nonce": message["ticket"], "latency": 1.0})
         return b""
 
     def reports(self):
         """What the proxy met in a second, made up: ten tries a backend, half of one's failed."""
-        yield frame({"type": "usage", "node": 0, "route": "pay", "total": 10 * len(self.table), "errors": 0,
-                     "interval": 1000.0})
+        yield frame(
+            {
+                "type": "usage",
+                "node": 0,
+                "route": "pay",
+                "total": 10 * len(self.table),
+                "errors": 0,
+                "interval": 1000.0,
+            }
+        )
         for backend in self.table:
-            yield frame({"type": "heard", "locality": "north", "endpoint": backend, "total": 10,
-                         "errors": 5 if backend == FAILS else 0, "rtt": 40.0, "interval": 1000.0,
-                         "metrics": {"util": 0.4}})
+            yield frame(
+                {
+                    "type": "heard",
+                    "locality": "north",
+                    "endpoint": backend,
+                    "total": 10,
+                    "errors": 5 if backend == FAILS else 0,
+                    "rtt": 40.0,
+                    "interval": 1000.0,
+                    "metrics": {"util": 0.4},
+                }
+            )
 
 
 if __name__ == "__main__":
--- a/granitespool/__main__.py
+++ b/granitespool/__main__.py
@@ -1,4 +1,5 @@
 """`python -m granitespool`: the command line, see granitespool/cli."""
+
 import sys
 
 from granitespool.cli import main
--- a/granitespool/channel.py
+++ b/granitespool/channel.py
@@ -2,22 +2,23 @@
 
 A turn's orders to one proxy are one message: a head, a mark and its lines. They are taken off once the proxy
 answers that mark or a later one, or has left; what is neither is taken off when it has become too old."""
+
 from collections import Counter, deque
 
-SERIALS = 65536         # marks are whole numbers under this
+SERIALS = 65536  # marks are whole numbers under this
 SECOND = 1_000_000_000  # ns
-UNTOLD = 2 * SECOND     # ns that a full queue takes where no pace or no limit is told: the usual one's
+UNTOLD = 2 * SECOND  # ns that a full queue takes where no pace or no limit is told: the usual one's
 MESSAGES_SPAN = 10 * SECOND  # ns that messages to a proxy are counted over where it is not told: the usual
-NO_LIMIT = 1e9          # lines: stands for a queue, or a pace, without a limit
-MARK_LOST = 16          # full queues at the told pace after which a mark is lost: a channel may be ten times
+NO_LIMIT = 1e9  # lines: stands for a queue, or a pace, without a limit
+MARK_LOST = 16  # full queues at the told pace after which a mark is lost: a channel may be ten times
 #                         slower for a while, and what it holds must not be forgotten
-EMPTY_PART = 0.94       # part that one order may take of an empty queue: what a leaving stream was just being
+EMPTY_PART = 0.94  # part that one order may take of an empty queue: what a leaving stream was just being
 #                         sent is passed on to its end, and is counted here no more
 
 
-ANSWERS = 64            # answers that the met pace is a mean of: about half of a coordinator's proxies, since
+ANSWERS = 64  # answers that the met pace is a mean of: about half of a coordinator's proxies, since
 #                         one that stands still tells nothing of the channel
-WAY = SECOND // 2       # ns that a message may be on its way and applied in beyond the queue: tells of small
+WAY = SECOND // 2  # ns that a message may be on its way and applied in beyond the queue: tells of small
 #                         queues are mostly that, and no channel is slow for it
 
 
@@ -26,14 +27,14 @@
 
     def __init__(self, serial, at):
         self.serial, self.at, self.lines = serial, at, {}  # proxy -> lines of its message
-        self.ahead = {}                                    # proxy -> lines of its message and all before it
+        self.ahead = {}  # proxy -> lines of its message and all before it
 
 
 class Channel:
     def __init__(self):
         self.waiting, self.serial, self.ordered = 0, 0, 0  # ordered: lines in all, heads with them
-        self.turns = {}          # mark -> Turn, oldest first; as long as any of its lines waits
-        self.held = {}           # proxy -> its turns, oldest first
+        self.turns = {}  # mark -> Turn, oldest first; as long as any of its lines waits
+        self.held = {}  # proxy -> its turns, oldest first
         self.took = self.expected = 0.0  # ns that messages took, and would by the told pace: means
 
     def new_settings(self, settings):
@@ -80,8 +81,10 @@
         likely as they are sent: booked whole, what is never sent would fill the account."""
         room, reach, fits = self.room(part), Counter(), 0
         for more in costs:
-            room -= sum(self._message(reach[proxy] + lines) - self._message(reach[proxy])
-                        for proxy, lines in more.items())
+            room -= sum(
+                self._message(reach[proxy] + lines) - self._message(reach[proxy])
+                for proxy, lines in more.items()
+            )
             if room < 0:
                 break
             reach.update(more)
--- a/granitespool/cli/__init__.py
+++ b/granitespool/cli/__init__.py
@@ -35,6 +35,7 @@
   --plot FILE      A plot of the result as PNG, SVG or PDF; needs the extra `plot`.
   -h --help        This text.
 """
+
 import sys
 
 from docopt import DocoptExit, docopt
@@ -55,7 +56,7 @@
         # the library's own words about a wrong call are a warning of several lines; ours is one sentence
         print(f"granitespool: {_misuse(argv)}\n\n{_usage()}", file=sys.stderr)
         return MISUSED
-    except SystemExit:                   # --help, printed
+    except SystemExit:  # --help, printed
         return 0
     try:
         return _command(told)(told)
@@ -97,8 +98,21 @@
     if first is not None and first not in known and argv[0] == first:
         return f"there is no command {first!r:.60}"
     options = {word.partition("=")[0] for word in argv if word.startswith("-")}
-    unknown = sorted(options - {"--config", "--operator", "--set", "--json", "--plot", "--name", "--user",
-                                "--days", "-h", "--help"})
+    unknown = sorted(
+        options
+        - {
+            "--config",
+            "--operator",
+            "--set",
+            "--json",
+            "--plot",
+            "--name",
+            "--user",
+            "--days",
+            "-h",
+            "--help",
+        }
+    )
     if unknown:
         return f"there is no option {unknown[0]!r:.60}"
     return "the call fits no line of the usage: " + (" ".join(argv)[:100] or "nothing")
--- a/granitespool/cli/check.py
+++ b/granitespool/cli/check.py
@@ -1,4 +1,5 @@
 """`check`: reads what a call names and says what it holds."""
+
 from granitespool.cli.files import operator_of, paths
 from granitespool.net import config
 
@@ -9,5 +10,6 @@
         print(config.summary(config.load(path)))
     if operator_path:
         from granitespool import operator  # noqa: PLC0415
+
         print(operator.summary(operator_of(operator_path)))
     return 0
--- a/granitespool/cli/files.py
+++ b/granitespool/cli/files.py
@@ -1,4 +1,5 @@
 """The two files that a call names: the configuration and the operator's settings."""
+
 import os
 
 from granitespool.net import config
@@ -6,8 +7,10 @@
 
 def paths(told):
     """(configuration, operator's settings), None for one that is not named."""
-    return (told["--config"] or os.environ.get("LB_CONFIG"),
-            told["--operator"] or os.environ.get("GRANITESPOOL_OPERATOR"))
+    return (
+        told["--config"] or os.environ.get("LB_CONFIG"),
+        told["--operator"] or os.environ.get("GRANITESPOOL_OPERATOR"),
+    )
 
 
 def operator_of(path):
@@ -15,6 +18,7 @@
     if not path:
         return None
     from granitespool import operator  # noqa: PLC0415
+
     return operator.load(path)
 
 
--- a/granitespool/cli/keys.py
+++ b/granitespool/cli/keys.py
@@ -2,6 +2,7 @@
 
 The keys are made on this machine and stay in the folder. For service, take certificates from your own
 authority."""
+
 import datetime
 import ipaddress
 import os
@@ -13,13 +14,16 @@
 
 from granitespool.settings import BadInput
 
-DAYS = 90            # that certificates hold: for trying out
-SOON_DAYS = 14       # before the end a certificate is called so
+DAYS = 90  # that certificates hold: for trying out
+SOON_DAYS = 14  # before the end a certificate is called so
 
 
 def run(told):
-    return show(told["FILE"]) if told["show"] else make(told["DIR"], told["--name"], told["--user"],
-                                                        told["--days"])
+    return (
+        show(told["FILE"])
+        if told["show"]
+        else make(told["DIR"], told["--name"], told["--user"], told["--days"])
+    )
 
 
 def make(folder, names, users, days):
@@ -35,8 +39,9 @@
     _write(folder, "ca.pem", authority.public_bytes(serialization.Encoding.PEM))
     _write(folder, "ca.key", _key_bytes(authority_key))
     for file, name, usage, alternatives in (
-            ("server", names[0], ExtendedKeyUsageOID.SERVER_AUTH, names),
-            *((user, user, ExtendedKeyUsageOID.CLIENT_AUTH, []) for user in users)):
+        ("server", names[0], ExtendedKeyUsageOID.SERVER_AUTH, names),
+        *((user, user, ExtendedKeyUsageOID.CLIENT_AUTH, []) for user in users),
+    ):
         key = ec.generate_private_key(ec.SECP256R1())
         made = _certificate(name, key, days, authority, authority_key, usage, alternatives)
         _write(folder, f"{file}.pem", made.public_bytes(serialization.Encoding.PEM))
@@ -48,24 +53,41 @@
 def _certificate(name, key, days, authority, authority_key, usage, alternatives, begins=None):
     subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
     now = begins or datetime.datetime.now(datetime.timezone.utc)
-    builder = (x509.CertificateBuilder().subject_name(subject).public_key(key.public_key())
-               .issuer_name(authority.subject if authority else subject)
-               .serial_number(x509.random_serial_number())
-               .not_valid_before(now - datetime.timedelta(minutes=5))
-               .not_valid_after(now + datetime.timedelta(days=days))
-               .add_extension(x509.BasicConstraints(ca=authority is None, path_length=None), critical=True)
-               .add_extension(x509.SubjectKeyIdentifier.from_public_key(key.public_key()), critical=False)
-               .add_extension(x509.AuthorityKeyIdentifier.from_issuer_public_key(
-                   (authority_key or key).public_key()), critical=False)
-               .add_extension(x509.KeyUsage(
-                   digital_signature=True, key_cert_sign=authority is None, crl_sign=authority is None,
-                   content_commitment=False, key_encipherment=False, data_encipherment=False,
-                   key_agreement=False, encipher_only=False, decipher_only=False), critical=True))
+    builder = (
+        x509.CertificateBuilder()
+        .subject_name(subject)
+        .public_key(key.public_key())
+        .issuer_name(authority.subject if authority else subject)
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(minutes=5))
+        .not_valid_after(now + datetime.timedelta(days=days))
+        .add_extension(x509.BasicConstraints(ca=authority is None, path_length=None), critical=True)
+        .add_extension(x509.SubjectKeyIdentifier.from_public_key(key.public_key()), critical=False)
+        .add_extension(
+            x509.AuthorityKeyIdentifier.from_issuer_public_key((authority_key or key).public_key()),
+            critical=False,
+        )
+        .add_extension(
+            x509.KeyUsage(
+                digital_signature=True,
+                key_cert_sign=authority is None,
+                crl_sign=authority is None,
+                content_commitment=False,
+                key_encipherment=False,
+                data_encipherment=False,
+                key_agreement=False,
+                encipher_only=False,
+                decipher_only=False,
+            ),
+            critical=True,
+        )
+    )
     if usage:
         builder = builder.add_extension(x509.ExtendedKeyUsage([usage]), critical=False)
     if alternatives:
-        builder = builder.add_extension(x509.SubjectAlternativeName(list(map(_alternative, alternatives))),
-                                        critical=False)
+        builder = builder.add_extension(
+            x509.SubjectAlternativeName(list(map(_alternative, alternatives))), critical=False
+        )
     return builder.sign(authority_key or key, hashes.SHA256())
 
 
@@ -77,8 +99,9 @@
 
 
 def _key_bytes(key):
-    return key.private_bytes(serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8,
-                             serialization.NoEncryption())
+    return key.private_bytes(
+        serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+    )
 
 
 def _write(folder, name, data):
@@ -100,7 +123,9 @@
             left = (each.not_valid_after_utc - now).total_seconds() / 86400
             word = "has ended" if left < 0 else "ends soon" if left < SOON_DAYS else "holds"
             code = code or int(left < SOON_DAYS)
-            print(f"{path}: {each.subject.rfc4514_string()}, "
-                  f"sha256:{each.fingerprint(hashes.SHA256()).hex()}, "
-                  f"{word}, until {each.not_valid_after_utc:%Y-%m-%d %H:%M} UTC ({left:.0f} days)")
+            print(
+                f"{path}: {each.subject.rfc4514_string()}, "
+                f"sha256:{each.fingerprint(hashes.SHA256()).hex()}, "
+                f"{word}, until {each.not_valid_after_utc:%Y-%m-%d %H:%M} UTC ({left:.0f} days)"
+            )
     return code
--- a/granitespool/cli/lab.py
+++ b/granitespool/cli/lab.py
@@ -1,4 +1,5 @@
 """`lab`: experiments in virtual time."""
+
 import sys
 
 from granitespool.lab import play, schema
--- a/granitespool/cli/serve.py
+++ b/granitespool/cli/serve.py
@@ -1,4 +1,5 @@
 """`serve`: one coordinator until SIGTERM."""
+
 import signal
 import sys
 
@@ -7,11 +8,11 @@
 
 
 def run(told):
-    asked = []                             # SIGHUPs before there is something that could be replaced
+    asked = []  # SIGHUPs before there is something that could be replaced
     former = {number: signal.getsignal(number) for number in SIGNALS}
     try:
         service = _started(told, asked)
-    except Exception:                      # the caller goes on, and answers signals as before
+    except Exception:  # the caller goes on, and answers signals as before
         for number, handler in former.items():
             signal.signal(number, handler)
         raise
@@ -32,4 +33,5 @@
     # What takes long to import comes after, for the same reason.
     from granitespool.cli.files import read  # noqa: PLC0415
     from granitespool.net.service import Service  # noqa: PLC0415
+
     return Service(read(told), sys.stdout.fileno(), reread=lambda: read(told))
--- a/granitespool/cli/state.py
+++ b/granitespool/cli/state.py
@@ -1,4 +1,5 @@
 """`state`: look after a state folder, also beside the process that owns it (but for `compact`)."""
+
 import os
 import time
 
@@ -12,7 +13,7 @@
 from granitespool.state.record import Spoilt
 from granitespool.state.store import Newer, Store, ours, read_file, recover
 
-READ_MOST = 4 << 30      # bytes of a file that are read: the largest most_mb
+READ_MOST = 4 << 30  # bytes of a file that are read: the largest most_mb
 
 
 def run(told):
@@ -76,16 +77,20 @@
     now, then = trust.Clocks(time.time_ns(), time.monotonic_ns()), trust.Clocks(*found.clocks)
     age, usual = trust.age_of(then, now), State(folder=folder.path)
     classes, zones = (", ".join(map(str, names)) or "none" for names in (header.classes, header.zones))
-    print(f"{found.name}: format {header.format}, of {header.name!r}, start {header.start}, program "
-          f"{header.program}, classes {classes}, zones {zones}")
+    print(
+        f"{found.name}: format {header.format}, of {header.name!r}, start {header.start}, program "
+        f"{header.program}, classes {classes}, zones {zones}"
+    )
     when = "at an unknown time" if age is None else f"{age / 1e9:.1f} s ago"
     links = sum(len(links) for _, links in kept.backends.values())
     print(f"written {when}; {len(kept.backends)} backends, {links} links")
     if kept.fleet:
         fleet = kept.fleet
-        print(f"fleet: list {fleet.index}, {'strained' if fleet.strained else 'calm'}, "
-              f"{fleet.room:.0%} let in, "
-              f"{fleet.through:.1%} of tries answered")
+        print(
+            f"fleet: list {fleet.index}, {'strained' if fleet.strained else 'calm'}, "
+            f"{fleet.room:.0%} let in, "
+            f"{fleet.through:.1%} of tries answered"
+        )
     identity = trust.Identity(header.name, header.classes, header.zones)
     oldest, half_life = int(usual.oldest_s * 1e9), int(usual.half_life_s * 1e9)
     why = trust.doubt(header, then, now, identity, oldest)
@@ -94,9 +99,11 @@
         return 0
     listed = {name: (facts.phase, facts.started) for name, (facts, _) in kept.backends.items()}
     belief = trust.believed(kept, then, now, listed, frozenset(header.zones), True, half_life, oldest)
-    print(f"believed now, with a half-life of {usual.half_life_s:g} s: {len(belief.backends)} backends, "
-          f"{belief.links} links, {belief.cuts} cuts"
-          + "".join(f"; {count} left out: {reason}" for reason, count in belief.left.items()))
+    print(
+        f"believed now, with a half-life of {usual.half_life_s:g} s: {len(belief.backends)} backends, "
+        f"{belief.links} links, {belief.cuts} cuts"
+        + "".join(f"; {count} left out: {reason}" for reason, count in belief.left.items())
+    )
     for name, (facts, links) in sorted(kept.backends.items()):
         for zone, link in sorted(links.items()):
             print("  " + _line(name, facts, zone, link, belief.backends.get(name, ({}, {}))[1].get(zone)))
@@ -121,8 +128,13 @@
         return 1
     header = msgspec.structs.replace(found.header, format=record.FORMAT, program=__version__)
     store = Store(folder, READ_MOST, lambda: header)
-    store.take({key: record.value_bytes(value) for values in record.values_of(kept).values()
-                for key, value in values.items()})
+    store.take(
+        {
+            key: record.value_bytes(value)
+            for values in record.values_of(kept).values()
+            for key, value in values.items()
+        }
+    )
     before = sum(folder.size(name) for name in ours(folder.names())[0].values())
     store.begin(*found.clocks)
     print(f"{folder.path}: {before} bytes before, {store.size} now, {len(store.held)} values")
--- a/granitespool/facade.py
+++ b/granitespool/facade.py
@@ -8,6 +8,7 @@
 What is reported in one turn is one batch, and what it orders is one message for each proxy. Orders not picked
 yet merge with later ones: the last weight wins, the last mark stands for those before. Shared tables are
 expanded here to each bound proxy, and shut-outs kept for each stream. No decision is taken in this file."""
+
 import heapq
 import traceback
 
@@ -16,8 +17,22 @@
 # Parties other than the proxies, which are numbers: what they are given to do, say, write down or forget
 PROBES, PEERS, REMARKS, GONE = "probes", "peers", "remarks", "gone"
 FIXED = "classes", "slices", "subscribe", "index"  # settings that what is kept here or there is built on
-REPORTS = frozenset(("list_news", "heard", "arrivals", "joined", "left", "applied", "probed", "peer_said",
-                     "slice_given", "slice_line", "slice_load", "recalled"))
+REPORTS = frozenset(
+    (
+        "list_news",
+        "heard",
+        "arrivals",
+        "joined",
+        "left",
+        "applied",
+        "probed",
+        "peer_said",
+        "slice_given",
+        "slice_line",
+        "slice_load",
+        "recalled",
+    )
+)
 RETURNING = 20 * 10**9  # ns after a ramp's begin for which a backend is shown as returning
 AS_THEY_COME = frozenset(("peer_said", "slice_load"))  # whose words the planner does not name
 
@@ -26,9 +41,9 @@
     """A joined proxy: its tables, the backends it may hold shut out, and what is to be written to it."""
 
     def __init__(self, suspects):
-        self.tables = {}             # classes (sum of 2**k) -> table
-        self.suspects = suspects     # shut out by others, maybe, when it joined: a set shared by many
-        self.told = {}               # backend -> what it was told on this stream: is it shut out
+        self.tables = {}  # classes (sum of 2**k) -> table
+        self.suspects = suspects  # shut out by others, maybe, when it joined: a set shared by many
+        self.told = {}  # backend -> what it was told on this stream: is it shut out
         self.clear()
 
     def shut(self, backend):
@@ -37,7 +52,7 @@
 
     def clear(self):
         self.lines, self.whole, self.levels = {}, set(), {}  # classes -> lines; classes; position -> level
-        self.out, self.mark = {}, None                       # backend -> is it shut out; the last mark
+        self.out, self.mark = {}, None  # backend -> is it shut out; the last mark
 
 
 class Coordinator:
@@ -70,8 +85,12 @@
             # A name that was not told before was shut out by nobody, or let back by who saw it return; one
             # told again as it was has not been out. Harm: a return between two such tellings is not seen.
             known = {name: rec.started for name, rec in self.planner.backends.items()}
-            self.suspects |= {entry["backend"] for entry in met["entries"] if entry["phase"] != "ready" or
-                              entry["started"] > known.get(entry["backend"], entry["started"])}
+            self.suspects |= {
+                entry["backend"]
+                for entry in met["entries"]
+                if entry["phase"] != "ready"
+                or entry["started"] > known.get(entry["backend"], entry["started"])
+            }
         if what in AS_THEY_COME:
             self._guarded(getattr(self.planner, what), *met.values())
         else:
@@ -89,49 +108,96 @@
         """What the planner has learnt of the fleet and of these backends, to be reported as `recalled` by a
         later life: (fleet, {backend: (facts, {zone: facts})}), times in ns of the clock that was told."""
         fleet = {key: getattr(self.planner, key) for key in ("strained", "room", "through", "asked")}
-        return fleet, {rec.id: ({key: getattr(rec, key) for key in REMEMBERED}, {
-            zone: {"low": link.lows[0] if link.lows else None, **{key: getattr(link, key) for key in MET}}
-            for zone, link in rec.links.items()}) for rec in map(self.planner.backends.get, backends) if rec}
+        return fleet, {
+            rec.id: (
+                {key: getattr(rec, key) for key in REMEMBERED},
+                {
+                    zone: {
+                        "low": link.lows[0] if link.lows else None,
+                        **{key: getattr(link, key) for key in MET},
+                    }
+                    for zone, link in rec.links.items()
+                },
+            )
+            for rec in map(self.planner.backends.get, backends)
+            if rec
+        }
 
     def pictured_fleet(self):
         """Figures of the whole: joined, unbound, waiting (lines), lag (ns), strained, room, through, and
         tables as (zone, number of lines, {class: (share, retries)})."""
         planner = self.planner
-        return {"joined": len(planner.proxies), "unbound": len(planner.unbound),
-                "waiting": planner.channel.waiting,
-                "lag": planner.lag, "strained": planner.strained, "room": planner.room,
-                "through": planner.through,
-                "tables": [(zone, sum(len(self.tables.get(table, ())) for table in tables), {
-                    self.classes[k]: level for k, level in sorted(self.levels.get(tables[0], {}).items())})
-                    for zone, tables in planner.tables.items()]}
+        return {
+            "joined": len(planner.proxies),
+            "unbound": len(planner.unbound),
+            "waiting": planner.channel.waiting,
+            "lag": planner.lag,
+            "strained": planner.strained,
+            "room": planner.room,
+            "through": planner.through,
+            "tables": [
+                (
+                    zone,
+                    sum(len(self.tables.get(table, ())) for table in tables),
+                    {self.classes[k]: level for k, level in sorted(self.levels.get(tables[0], {}).items())},
+                )
+                for zone, tables in planner.tables.items()
+            ],
+        }
 
     def pictured(self, backend):
         """(phase, zone, kind and proven by name, {zone: (weight, cost in ns or None, cut, shut out)}) of a
         backend, or None where it is not known."""
         rec = self.planner.backends.get(backend)
-        return rec and ({"phase": rec.phase, "zone": rec.zone, "kind": rec.kind, "proven": rec.proven}, {
-            zone: (max(rec.sent.get(table, 0.0) for table in tables), link and link.cost,
-                   bool(link) and link.cut_at is not None,
-                   backend in self.withdrawn)
-            for zone, tables in self.planner.tables.items() for link in (rec.links.get(zone),)})
+        return rec and (
+            {"phase": rec.phase, "zone": rec.zone, "kind": rec.kind, "proven": rec.proven},
+            {
+                zone: (
+                    max(rec.sent.get(table, 0.0) for table in tables),
+                    link and link.cost,
+                    bool(link) and link.cut_at is not None,
+                    backend in self.withdrawn,
+                )
+                for zone, tables in self.planner.tables.items()
+                for link in (rec.links.get(zone),)
+            },
+        )
 
     def figures(self):
         """What can be summed over coordinators: figures of now, and totals since the start."""
         planner, channel = self.planner, self.planner.channel
         links = [link for rec in planner.backends.values() for link in rec.links.values()]
-        return {"joined": len(planner.proxies), "unbound": len(planner.unbound), "waiting": channel.waiting,
-                "limit": channel.limit, "pace": channel.pace, "met": channel.met, "ordered": channel.ordered,
-                "lag": planner.lag, "strained": planner.strained, "room": planner.room,
-                "through": planner.through, "subsets": planner.subsets.count, "reports": self.reports,
-                "cut": sum(link.cut_at is not None and not link.spare for link in links),
-                "last_resort": sum(link.cut_at is not None and link.spare for link in links)}
+        return {
+            "joined": len(planner.proxies),
+            "unbound": len(planner.unbound),
+            "waiting": channel.waiting,
+            "limit": channel.limit,
+            "pace": channel.pace,
+            "met": channel.met,
+            "ordered": channel.ordered,
+            "lag": planner.lag,
+            "strained": planner.strained,
+            "room": planner.room,
+            "through": planner.through,
+            "subsets": planner.subsets.count,
+            "reports": self.reports,
+            "cut": sum(link.cut_at is not None and not link.spare for link in links),
+            "last_resort": sum(link.cut_at is not None and link.spare for link in links),
+        }
 
     def unusual(self, most):
         """{backend: (why, tries, failed, weight)} of the backends that carry no ordinary part, those with
         most tries of about the last second first, `most` of them; and how many more there are."""
-        found = {rec.id: (why, rec.tried, rec.missed, sum(weight for table, weight in rec.sent.items()
-                                                          if table != "out"))
-                 for rec in self.planner.backends.values() if (why := self._why(rec))}
+        found = {
+            rec.id: (
+                why,
+                rec.tried,
+                rec.missed,
+                sum(weight for table, weight in rec.sent.items() if table != "out"),
+            )
+            for rec in self.planner.backends.values()
+            if (why := self._why(rec))
+        }
         order = sorted(found, key=lambda backend: -found[backend][1])
         return {backend: found[backend] for backend in order[:most]}, max(0, len(order) - most)
 
@@ -204,17 +270,22 @@
         if self.waiting.pop(party, self) is self:
             return None
         held = self.proxies[party]
-        order = {"tables": [(self._names(classes), classes in held.whole, list(lines.items()))
-                            for classes, lines in held.lines.items()],
-                 "levels": self._grouped(held.levels),
-                 "out": [b for b, out in held.out.items() if out],
-                 "back": [b for b, out in held.out.items() if not out], "mark": held.mark}
+        order = {
+            "tables": [
+                (self._names(classes), classes in held.whole, list(lines.items()))
+                for classes, lines in held.lines.items()
+            ],
+            "levels": self._grouped(held.levels),
+            "out": [b for b, out in held.out.items() if out],
+            "back": [b for b, out in held.out.items() if not out],
+            "mark": held.mark,
+        }
         held.clear()
         return order
 
     def _names(self, classes):
         if classes == self.every:
-            return None              # all of them
+            return None  # all of them
         return [name for k, name in enumerate(self.classes) if classes >> k & 1]
 
     def _grouped(self, levels):
@@ -266,7 +337,7 @@
         if held is None:
             return
         for other, used in list(held.tables.items()):
-            if other & classes:      # the later table has these classes now
+            if other & classes:  # the later table has these classes now
                 del held.tables[other]
                 held.lines.pop(other, None)
                 held.whole.discard(other)
@@ -303,8 +374,11 @@
 
     def reach(self, backend, out, unbound, known):
         # Nobody knows what a proxy holds that was never written to on this stream, so all are told
-        return {proxy: 1 for proxy, held in self.loose.items()
-                if (not held.told.get(backend) if out else held.shut(backend))}
+        return {
+            proxy: 1
+            for proxy, held in self.loose.items()
+            if (not held.told.get(backend) if out else held.shut(backend))
+        }
 
     def returns(self, proxies, table, backend=None):
         names = (backend,) if backend is not None else self.tables.get(table, ())
--- a/granitespool/gnmi/paths.py
+++ b/granitespool/gnmi/paths.py
@@ -2,12 +2,13 @@
 
 A path here is a list of (name, {key: text}). "*" stands for any one name or key, "..." for any number of
 names."""
+
 from granitespool.gnmi import gnmi_pb2 as pb
 from granitespool.manage import model
 from granitespool.manage.refused import Refused
 
 ANY, DEEP = "*", "..."
-ELEMENTS_MOST = 32           # elements of a path: the module is six deep
+ELEMENTS_MOST = 32  # elements of a path: the module is six deep
 
 
 def path_of(prefix, path):
@@ -15,8 +16,9 @@
     for each in (prefix, path):
         if each.origin not in ("", model.MODULE) or each.element:
             raise Refused("invalid-value", "paths have elem, and the origin is empty or " + model.MODULE)
-    elements = [(each.name.removeprefix(model.MODULE + ":"), dict(each.key))
-                for each in (*prefix.elem, *path.elem)]
+    elements = [
+        (each.name.removeprefix(model.MODULE + ":"), dict(each.key)) for each in (*prefix.elem, *path.elem)
+    ]
     if len(elements) > ELEMENTS_MOST:
         raise Refused("invalid-value", f"a path is over {ELEMENTS_MOST} elements")
     return elements
@@ -48,8 +50,9 @@
 
 
 def text(path):
-    return "/" + "/".join(name + "".join(f"[{key}={value}]" for key, value in keys.items())
-                          for name, keys in path)
+    return "/" + "/".join(
+        name + "".join(f"[{key}={value}]" for key, value in keys.items()) for name, keys in path
+    )
 
 
 def found(node, value, path, at=()):
--- a/granitespool/gnmi/session.py
+++ b/granitespool/gnmi/session.py
@@ -1,4 +1,5 @@
 """One gNMI connection: calls over HTTP/2, the datastores behind them; no socket and no clock of its own."""
+
 from google.protobuf.message import DecodeError
 
 from granitespool.gnmi import gnmi_pb2 as pb
@@ -12,24 +13,31 @@
 from granitespool.rpc.calls import Calls, Status
 from granitespool.rpc.http2 import Broken, Http2
 
-SECOND = 1_000_000_000       # ns
+SECOND = 1_000_000_000  # ns
 VERSION = "0.8.0"
-SUBSCRIPTIONS_MOST = 64      # of one call
-SAMPLE_LEAST = SECOND // 4   # ns between samples: pictures are shared for as long
-SAMPLE_USUAL = 10 * SECOND   # ns where the client leaves it to us
-LOOK = SECOND                # ns between looks at what is sent on change: the planner's period
-UPDATES_A_STEP = 50          # updates put into a message in one step: half a millisecond
+SUBSCRIPTIONS_MOST = 64  # of one call
+SAMPLE_LEAST = SECOND // 4  # ns between samples: pictures are shared for as long
+SAMPLE_USUAL = 10 * SECOND  # ns where the client leaves it to us
+LOOK = SECOND  # ns between looks at what is sent on change: the planner's period
+UPDATES_A_STEP = 50  # updates put into a message in one step: half a millisecond
 UPDATE_FIELD = pb.Notification.DESCRIPTOR.fields_by_name["update"].number
 RESPONSE_FIELD = pb.SubscribeResponse.DESCRIPTOR.fields_by_name["update"].number
-UPDATES_MOST = 500           # updates of one notification: some 50 KB
+UPDATES_MOST = 500  # updates of one notification: some 50 KB
 CODES = {
-    "invalid-value": calls.INVALID_ARGUMENT, "unknown-element": calls.INVALID_ARGUMENT,
-    "missing-element": calls.INVALID_ARGUMENT, "bad-attribute": calls.INVALID_ARGUMENT,
-    "bad-element": calls.INVALID_ARGUMENT, "data-missing": calls.NOT_FOUND,
+    "invalid-value": calls.INVALID_ARGUMENT,
+    "unknown-element": calls.INVALID_ARGUMENT,
+    "missing-element": calls.INVALID_ARGUMENT,
+    "bad-attribute": calls.INVALID_ARGUMENT,
+    "bad-element": calls.INVALID_ARGUMENT,
+    "data-missing": calls.NOT_FOUND,
     "data-exists": calls.ALREADY_EXISTS,
-    "access-denied": calls.PERMISSION_DENIED, "in-use": calls.ABORTED, "lock-denied": calls.ABORTED,
-    "operation-failed": calls.FAILED_PRECONDITION, "resource-denied": calls.RESOURCE_EXHAUSTED,
-    "operation-not-supported": calls.UNIMPLEMENTED}
+    "access-denied": calls.PERMISSION_DENIED,
+    "in-use": calls.ABORTED,
+    "lock-denied": calls.ABORTED,
+    "operation-failed": calls.FAILED_PRECONDITION,
+    "resource-denied": calls.RESOURCE_EXHAUSTED,
+    "operation-not-supported": calls.UNIMPLEMENTED,
+}
 
 
 def status_of(refused):
@@ -39,12 +47,19 @@
 class Gnmi:
     """The protocol of one connection, as net.door has them."""
 
-    subscribed = None            # NETCONF's notifications are not for it
+    subscribed = None  # NETCONF's notifications are not for it
 
     def __init__(self, managing, user, session, number):
         self.managing, self.user, self.session, self.number = managing, user, session, number
-        self.calls = Calls({f"gnmi.gNMI/{name}": getattr(self, name.lower()) for name in (
-            "Capabilities", "Get", "Set", "Subscribe")}, session.now, managing.failed, session.wake)
+        self.calls = Calls(
+            {
+                f"gnmi.gNMI/{name}": getattr(self, name.lower())
+                for name in ("Capabilities", "Get", "Set", "Subscribe")
+            },
+            session.now,
+            managing.failed,
+            session.wake,
+        )
         self.http2 = self.calls.http2 = Http2(self.calls, session.door.streams)
 
     # What the door asks of a protocol
@@ -130,10 +145,15 @@
 
     def capabilities(self, call):
         yield from self._one(call, pb.CapabilityRequest)
-        call.send(pb.CapabilityResponse(
-            supported_models=[pb.ModelData(name=model.MODULE, organization="granitespool",
-                                           version=model.REVISION)],
-            supported_encodings=values.ENCODINGS, gNMI_version=VERSION).SerializeToString())
+        call.send(
+            pb.CapabilityResponse(
+                supported_models=[
+                    pb.ModelData(name=model.MODULE, organization="granitespool", version=model.REVISION)
+                ],
+                supported_encodings=values.ENCODINGS,
+                gNMI_version=VERSION,
+            ).SerializeToString()
+        )
 
     def get(self, call):
         request = yield from self._one(call, pb.GetRequest)
@@ -142,14 +162,16 @@
             must_read(self.user)
             encoding = checked_encoding(request.encoding)
             asked = [paths.path_of(request.prefix, path) for path in request.path] or [
-                paths.path_of(request.prefix, pb.Path())]
+                paths.path_of(request.prefix, pb.Path())
+            ]
             root = self._root()
             for path in asked:
                 if path:
                     paths.check(root.top, path)
             kind = request.type
-            whole = yield from self._whole(call, kind in (pb.GetRequest.ALL, pb.GetRequest.CONFIG),
-                                           kind != pb.GetRequest.CONFIG)
+            whole = yield from self._whole(
+                call, kind in (pb.GetRequest.ALL, pb.GetRequest.CONFIG), kind != pb.GetRequest.CONFIG
+            )
             for path in asked:
                 note = response.notification.add(timestamp=self.session.now())
                 yield from self._filled(note, root, {model.TOP: whole}, path, encoding)
@@ -178,13 +200,20 @@
 
         def changed(tree):
             new = tree
-            for kind, operation, many in ((pb.UpdateResult.DELETE, "delete", request.delete),
-                                          (pb.UpdateResult.REPLACE, "replace", request.replace),
-                                          (pb.UpdateResult.UPDATE, "merge", request.update)):
+            for kind, operation, many in (
+                (pb.UpdateResult.DELETE, "delete", request.delete),
+                (pb.UpdateResult.REPLACE, "replace", request.replace),
+                (pb.UpdateResult.UPDATE, "merge", request.update),
+            ):
                 for each in many:
                     path = each if operation == "delete" else each.path
-                    new = self._edited(node, new, paths.path_of(request.prefix, path), operation,
-                                       None if operation == "delete" else values.plain_of(each.val))
+                    new = self._edited(
+                        node,
+                        new,
+                        paths.path_of(request.prefix, path),
+                        operation,
+                        None if operation == "delete" else values.plain_of(each.val),
+                    )
                     results.append(pb.UpdateResult(path=path, op=kind))
             must_write(self.user, differing(tree, new))
             return new
@@ -192,14 +221,18 @@
         def answer(error):
             answered.append(error)
             call.wake()
+
         self.managing.datastores.transact(self, self.user.name, changed, answer)
         while not answered:
             call.idle = True
             yield
         if answered[0] is not None:
             raise status_of(answered[0])
-        call.send(pb.SetResponse(prefix=request.prefix, response=results,
-                                 timestamp=self.session.now()).SerializeToString())
+        call.send(
+            pb.SetResponse(
+                prefix=request.prefix, response=results, timestamp=self.session.now()
+            ).SerializeToString()
+        )
 
     @staticmethod
     def _edited(node, tree, path, operation, value):
@@ -219,12 +252,16 @@
             if operation == "replace" and node.child(path[2][0]).kind == "leaf-list":
                 tree = {name: each for name, each in tree.items() if name != path[2][0]}
             return edited(node, tree, values.changes_at(node, path[2:], operation, value))
-        for name in (model.TOP, model.SETTINGS)[len(path):]:
-            value = {each.removeprefix(model.MODULE + ":"): below for each, below in value.items()} \
-                if isinstance(value, dict) else {}
+        for name in (model.TOP, model.SETTINGS)[len(path) :]:
+            value = (
+                {each.removeprefix(model.MODULE + ":"): below for each, below in value.items()}
+                if isinstance(value, dict)
+                else {}
+            )
             if set(value) - {name}:
-                raise Refused("unknown-element",
-                              f"there is no {', '.join(sorted(set(value) - {name}))} to be set")
+                raise Refused(
+                    "unknown-element", f"there is no {', '.join(sorted(set(value) - {name}))} to be set"
+                )
             value = value.get(name, {})
         [whole] = values.json_changes(node, value)
         return edited(node, {} if operation == "replace" else tree, whole.children)
@@ -283,7 +320,7 @@
                 leaves[leaf] = each
                 if len(leaves) % UPDATES_A_STEP == 0:
                     yield
-        flat[key] = leaves                       # of that picture, which may not be the newest any more
+        flat[key] = leaves  # of that picture, which may not be the newest any more
         return leaves
 
     def _told(self, call, leaves, gone, encoding):
@@ -338,9 +375,15 @@
         """An Update's bytes as a field of a Notification."""
         known = self.made.get(encoding)
         if known is None or known[0] != value:
-            known = self.made[encoding] = value, values.field(UPDATE_FIELD, pb.Update(
-                path=paths.message_of(self.path),
-                val=values.value_of(self.node, value, encoding)).SerializeToString())
+            known = self.made[encoding] = (
+                value,
+                values.field(
+                    UPDATE_FIELD,
+                    pb.Update(
+                        path=paths.message_of(self.path), val=values.value_of(self.node, value, encoding)
+                    ).SerializeToString(),
+                ),
+            )
         return known[1]
 
 
@@ -382,8 +425,11 @@
         if beats or not self.suppress:
             self.beat, updates = now, leaves
         else:
-            updates = {leaf: value for leaf, value in leaves.items()
-                       if leaf not in self.last or self.last[leaf] != value}
+            updates = {
+                leaf: value
+                for leaf, value in leaves.items()
+                if leaf not in self.last or self.last[leaf] != value
+            }
         self.last = leaves
         return updates, gone
 
--- a/granitespool/gnmi/values.py
+++ b/granitespool/gnmi/values.py
@@ -1,4 +1,5 @@
 """Typed values of gNMI, RFC 7951 JSON and changes of a tree; no I/O."""
+
 import orjson
 
 from granitespool.gnmi import gnmi_pb2 as pb
@@ -69,8 +70,9 @@
     if child.kind == "list":
         if set(keys) != set(child.keys):
             if operation in ("delete", "remove") and not keys and not rest:
-                raise Refused("operation-not-supported",
-                              f"the whole list {name} cannot be deleted, name an entry")
+                raise Refused(
+                    "operation-not-supported", f"the whole list {name} cannot be deleted, name an entry"
+                )
             raise Refused("missing-element", f"{name} needs its keys {', '.join(child.keys)}", child.path())
         key_changes = tuple(Change(key, None, child.children[key].parsed(text)) for key, text in keys.items())
     elif keys:
@@ -89,8 +91,9 @@
 
 def _with_keys(change, key_changes):
     named = {key.name for key in key_changes}
-    return change._replace(children=(*key_changes, *(each for each in change.children if each.name not
-                                                     in named)))
+    return change._replace(
+        children=(*key_changes, *(each for each in change.children if each.name not in named))
+    )
 
 
 def json_changes(node, value, operation=None):
--- a/granitespool/host.py
+++ b/granitespool/host.py
@@ -15,6 +15,7 @@
   drain_grace, ask_within, cold_time, cold_share, fall_multiple, fall_time, drain_needs_entry
   slices, one_owner, lease, write_life, hold_time
 """
+
 from typing import Protocol
 
 
--- a/granitespool/ini.py
+++ b/granitespool/ini.py
@@ -3,6 +3,7 @@
 `load(path, schemas)` and `parse(path, text, schemas)` give {section: Struct} for the sections that are
 there, or end in BadInput with one sentence that names the file, the section, the key, what was found and
 what would do."""
+
 import configparser
 import difflib
 import math
@@ -14,7 +15,7 @@
 from granitespool.settings import BadInput
 
 LARGEST = 1 << 20  # bytes of a file that are read: an example with every key commented takes a hundredth
-FOUND = 60         # characters of a wrong value that a sentence repeats
+FOUND = 60  # characters of a wrong value that a sentence repeats
 
 
 def load(path, schemas, paths=()):
@@ -35,8 +36,9 @@
 
 def parse(path, text, schemas, paths=()):
     """The same of a text; `path` names it in sentences."""
-    parser = configparser.ConfigParser(interpolation=None, default_section="", strict=True,
-                                       delimiters=("=",), comment_prefixes=("#", ";"))
+    parser = configparser.ConfigParser(
+        interpolation=None, default_section="", strict=True, delimiters=("=",), comment_prefixes=("#", ";")
+    )
     parser.optionxform = str
     try:
         parser.read_string(text)
@@ -80,8 +82,9 @@
         if isinstance(value, float) and not math.isfinite(value):
             raise msgspec.ValidationError
     except msgspec.ValidationError:
-        raise BadInput(f"{path}: [{name}] {field.name} is {text!r:.{FOUND}}, where "
-                       f"{_wanted(field.type)} would do") from None
+        raise BadInput(
+            f"{path}: [{name}] {field.name} is {text!r:.{FOUND}}, where {_wanted(field.type)} would do"
+        ) from None
     if (name, field.name) in paths:
         value = os.path.join(os.path.dirname(os.path.abspath(path)), value)
     return value
--- a/granitespool/lab/managers.py
+++ b/granitespool/lab/managers.py
@@ -2,17 +2,20 @@
 
 For tests and measurements on loopback; it checks nothing of what the server says
 beyond what it needs to go on."""
+
 import re
 import socket
 import ssl
 
 from granitespool.netconf.framing import Reader, framed
 
-MESSAGE_MOST = 256 << 20     # bytes of an answer that are taken: the whole state of a large fleet
+MESSAGE_MOST = 256 << 20  # bytes of an answer that are taken: the whole state of a large fleet
 BASE = "urn:ietf:params:xml:ns:netconf:base:1.0"
 SPACE = "urn:granitespool:coordinator"
-HELLO = (f'<hello xmlns="{BASE}"><capabilities><capability>urn:ietf:params:netconf:base:1.{{}}</capability>'
-         "</capabilities></hello>")
+HELLO = (
+    f'<hello xmlns="{BASE}"><capabilities><capability>urn:ietf:params:netconf:base:1.{{}}</capability>'
+    "</capabilities></hello>"
+)
 
 
 def client_context(folder, user):
@@ -93,8 +96,9 @@
     # Usual requests
 
     def edit(self, settings, store="candidate", more=""):
-        return self.ask(f"<edit-config><target><{store}/></target>{more}<config>{top(settings)}</config>"
-                        "</edit-config>")
+        return self.ask(
+            f"<edit-config><target><{store}/></target>{more}<config>{top(settings)}</config></edit-config>"
+        )
 
     def commit(self, more=""):
         return self.ask(f"<commit>{more}</commit>")
--- a/granitespool/lab/play.py
+++ b/granitespool/lab/play.py
@@ -1,4 +1,5 @@
 """Plays an experiment: its variants for each size and seed, what is measured of each, and the report."""
+
 import json
 import statistics
 import tempfile
@@ -12,12 +13,12 @@
 from granitespool.state.store import Store
 from granitespool.state.writer import read_back
 
-LOOK = SECOND // 10      # ns between looks at the tables
-BEFORE = 5 * SECOND      # ns before the kill whose mean tables are the ones to come back to
-STANDS = 2 * SECOND      # ns that tables must stay near those to count as settled
-WANDER = 0.95            # part of the looks at a coordinator that nobody kills that count as standing
-HOLDERS = 40             # proxies whose held tables are looked at
-MOST = 64 << 20          # bytes of a state folder
+LOOK = SECOND // 10  # ns between looks at the tables
+BEFORE = 5 * SECOND  # ns before the kill whose mean tables are the ones to come back to
+STANDS = 2 * SECOND  # ns that tables must stay near those to count as settled
+WANDER = 0.95  # part of the looks at a coordinator that nobody kills that count as standing
+HOLDERS = 40  # proxies whose held tables are looked at
+MOST = 64 << 20  # bytes of a state folder
 
 
 def distance(one, other):
@@ -32,7 +33,7 @@
     return {name: weight / total for name, weight in table.items()} if total else {}
 
 
-CONTROL = "control"       # the variant in which nobody is killed
+CONTROL = "control"  # the variant in which nobody is killed
 CHANGED = "changed", "wrong", "alive"  # those in which ill and well backends change places at the kill
 
 
@@ -46,7 +47,7 @@
         self.folder, self.memory, self.store = folder, None, None
         step = max(1, proxies // HOLDERS)
         self.holders = self.world.proxies[::step]
-        self.looks, self.reference = [], None    # (ns, distance of the tables, of those that proxies hold)
+        self.looks, self.reference = [], None  # (ns, distance of the tables, of those that proxies hold)
 
     def play(self, near=None):
         """What was measured; `near`: how far tables wander that nobody disturbs, as CONTROL gives it."""
@@ -73,24 +74,32 @@
         first = int(restart.learn_s + restart.down_s)
         if world.faults:
             raise BadInput(f"the planner failed in {self.variant}: {world.faults[0][-300:]}")
-        moved = self.variant in CHANGED          # then there is nothing to come back to
-        return {"tables_s": None if moved else self._settled(1, near[0], restart.settle_s),
-                "held_s": None if moved else self._settled(2, near[1], restart.settle_s),
-                "service": world.service(first, first + int(restart.look_s)), "usual": usual,
-                "far": [(round(at / SECOND, 1), *(round(far, 4) for far in both))
-                        for at, *both in self.looks]}
+        moved = self.variant in CHANGED  # then there is nothing to come back to
+        return {
+            "tables_s": None if moved else self._settled(1, near[0], restart.settle_s),
+            "held_s": None if moved else self._settled(2, near[1], restart.settle_s),
+            "service": world.service(first, first + int(restart.look_s)),
+            "usual": usual,
+            "far": [(round(at / SECOND, 1), *(round(far, 4) for far in both)) for at, *both in self.looks],
+        }
 
     def _remember(self):
         self.memory = Memory(self.restart, self.identity)
-        self.store = Store(self.folder, MOST, lambda: record.Header(
-            record.FORMAT, *self.identity, self.world.now, self.world.now, 1, __version__))
+        self.store = Store(
+            self.folder,
+            MOST,
+            lambda: record.Header(
+                record.FORMAT, *self.identity, self.world.now, self.world.now, 1, __version__
+            ),
+        )
 
     def _sweep(self, life):
         world = self.world
         if world.coordinator is not None and life == world.lives:
             world.at(world.now + self.restart.every_ms * MS // 2, self._sweep, life)
-            changes = self.memory.changes(world.coordinator, {}, 0, world.now,
-                                          list(world.coordinator.listed()), True)
+            changes = self.memory.changes(
+                world.coordinator, {}, 0, world.now, list(world.coordinator.listed()), True
+            )
             if changes:
                 self.store.append(world.now, world.now, changes)
 
@@ -156,40 +165,68 @@
                 near = dict(zip(seeds, plays))
             else:
                 rows.append(row("{}x{}".format(*size), variant, plays))
-    return {"title": experiment.title, "program": __version__, "seeds": experiment.seeds,
-            "first_seed": experiment.first_seed, "rows": rows}
+    return {
+        "title": experiment.title,
+        "program": __version__,
+        "seeds": experiment.seeds,
+        "first_seed": experiment.first_seed,
+        "rows": rows,
+    }
 
 
 def row(size, variant, plays):
     def middle(values):
         known = [value for value in values if value is not None]
         return round(statistics.median(known), 4) if known else None
+
     names = plays[0]["service"]
-    return {"size": size, "variant": variant,
-            "tables_s": middle(play["tables_s"] for play in plays),
-            "held_s": middle(play["held_s"] for play in plays),
-            "service": {name: {what: middle(play["service"][name][what] for play in plays)
-                               for what in names[name]} for name in names},
-            "usual": {name: middle(play["usual"][name]["in_time"] for play in plays) for name in names},
-            "spread": {name: round(max(column) - min(column), 4) for name, column in (
-                (name, [play["service"][name]["in_time"] for play in plays]) for name in names)},
-            "far": plays[0]["far"]}
+    return {
+        "size": size,
+        "variant": variant,
+        "tables_s": middle(play["tables_s"] for play in plays),
+        "held_s": middle(play["held_s"] for play in plays),
+        "service": {
+            name: {what: middle(play["service"][name][what] for play in plays) for what in names[name]}
+            for name in names
+        },
+        "usual": {name: middle(play["usual"][name]["in_time"] for play in plays) for name in names},
+        "spread": {
+            name: round(max(column) - min(column), 4)
+            for name, column in (
+                (name, [play["service"][name]["in_time"] for play in plays]) for name in names
+            )
+        },
+        "far": plays[0]["far"],
+    }
 
 
 def table(result):
     """The result as lines for a terminal."""
     names = list(result["rows"][0]["service"])
-    head = ["size", "variant", "tables", "held", *(f"{name} in time" for name in names),
-            *(f"{name} before" for name in names)]
+    head = [
+        "size",
+        "variant",
+        "tables",
+        "held",
+        *(f"{name} in time" for name in names),
+        *(f"{name} before" for name in names),
+    ]
     lines = [head]
     for each in result["rows"]:
-        lines.append([each["size"], each["variant"],
-                      *("-" if each[key] is None else f"{each[key]:.1f} s" for key in ("tables_s", "held_s")),
-                      *(f"{each['service'][name]['in_time']:.4f}" for name in names),
-                      *(f"{each['usual'][name]:.4f}" for name in names)])
+        lines.append(
+            [
+                each["size"],
+                each["variant"],
+                *("-" if each[key] is None else f"{each[key]:.1f} s" for key in ("tables_s", "held_s")),
+                *(f"{each['service'][name]['in_time']:.4f}" for name in names),
+                *(f"{each['usual'][name]:.4f}" for name in names),
+            ]
+        )
     widths = [max(len(line[k]) for line in lines) for k in range(len(head))]
-    return [f"{result['title']} (simulated servers; median of {result['seeds']} seeds)",
-            *("  ".join(word.ljust(width) for word, width in zip(line, widths)).rstrip() for line in lines)]
+    return [
+        f"{result['title']} (simulated servers; median of {result['seeds']} seeds)",
+        *("  ".join(word.ljust(width) for word, width in zip(line, widths)).rstrip() for line in lines),
+    ]
 
 
 def as_json(result):
@@ -204,6 +241,7 @@
         raise BadInput("a plot needs the extra `plot` (pip install granitespool[plot])") from None
     matplotlib.use("Agg")
     from matplotlib import pyplot  # noqa: PLC0415
+
     sizes = list(dict.fromkeys(each["size"] for each in result["rows"]))
     figure, axes = pyplot.subplots(len(sizes), 2, figsize=(11, 3.2 * len(sizes)), squeeze=False, sharex=True)
     for line, size in zip(axes, sizes):
--- a/granitespool/lab/schema.py
+++ b/granitespool/lab/schema.py
@@ -1,4 +1,5 @@
 """What an experiment's INI file may say; every key has its unit in its name."""
+
 import importlib.resources
 import os
 from typing import Annotated, Literal
@@ -21,7 +22,7 @@
     kind: Literal["restart"]
     title: Annotated[str, Meta(min_length=1)]
     variants: str = "without, state, old, changed, wrong, alive"
-    sizes: str = "30x150"            # backends x proxies, several are played in turn
+    sizes: str = "30x150"  # backends x proxies, several are played in turn
     seeds: Annotated[int, Meta(ge=1, le=100)] = 1  # the first seed and how many follow it
     first_seed: Annotated[int, Meta(ge=0, le=10**9)] = 1
 
@@ -48,7 +49,7 @@
     """[fleet]"""
 
     zones: Annotated[int, Meta(ge=1, le=64)] = 2
-    workers: Count = 4               # transactions that a backend works on at once
+    workers: Count = 4  # transactions that a backend works on at once
     service_ms: Annotated[float, Meta(ge=0.1, le=60_000)] = 40.0  # mean of a backend that is not slow
     queue_ms: Annotated[float, Meta(ge=0, le=600_000)] = 400.0  # wait past which a backend refuses
     cross_zone_ms: Annotated[float, Meta(ge=0, le=10_000)] = 8.0  # round trip to another zone; a tenth within
@@ -56,8 +57,8 @@
     slow_share: Share = 1 / 3
     slow_factor: Annotated[float, Meta(ge=1, le=1000)] = 4.0
     failing_share: Share = 0.1
-    failing_part: Share = 0.4        # of a failing backend's tries
-    dead_share: Share = 0.0          # backends that answer nothing
+    failing_part: Share = 0.4  # of a failing backend's tries
+    dead_share: Share = 0.0  # backends that answer nothing
     cold_s: Seconds = 5.0
     cold_share: Annotated[float, Meta(ge=0.01, le=1)] = 0.25
 
@@ -77,7 +78,7 @@
     promised_ms: Annotated[float, Meta(ge=1, le=600_000)] = 400.0
     limit_ms: Annotated[float, Meta(ge=1, le=600_000)] = 1200.0
     benefit: Annotated[float, Meta(ge=0, le=1000)] = 1.0
-    again: bool = False              # free to be tried again after any failure
+    again: bool = False  # free to be tried again after any failure
 
 
 class Restart(msgspec.Struct, frozen=True, kw_only=True):
@@ -85,13 +86,13 @@
 
     learn_s: Seconds = 30.0
     down_s: Seconds = 1.0
-    rejoin_s: Seconds = 1.0          # within which all proxies are back
-    look_s: Seconds = 10.0           # after the start, for service
-    settle_s: Seconds = 30.0         # after the start at most, for tables
+    rejoin_s: Seconds = 1.0  # within which all proxies are back
+    look_s: Seconds = 10.0  # after the start, for service
+    settle_s: Seconds = 30.0  # after the start at most, for tables
     every_ms: Annotated[int, Meta(ge=100, le=600_000)] = 1_000
     half_life_s: Annotated[float, Meta(ge=0.1, le=86_400)] = 30.0
     oldest_s: Annotated[float, Meta(ge=1, le=604_800)] = 300.0
-    old_s: Seconds = 7200.0          # age of the record in the variant `old`
+    old_s: Seconds = 7200.0  # age of the record in the variant `old`
 
 
 SECTIONS = {"experiment": Experiment, "fleet": Fleet, "channel": Channel, "restart": Restart}
@@ -108,7 +109,7 @@
 def names():
     """The experiments that come with the program."""
     folder = importlib.resources.files("granitespool.lab") / "experiments"
-    return sorted(entry.name[:-len(".ini")] for entry in folder.iterdir() if entry.name.endswith(".ini"))
+    return sorted(entry.name[: -len(".ini")] for entry in folder.iterdir() if entry.name.endswith(".ini"))
 
 
 def load(told, changes=()):
@@ -124,8 +125,10 @@
             with open(path, encoding="utf-8") as file:
                 text = file.read()
         except (OSError, UnicodeDecodeError) as error:
-            raise BadInput(f"{told}: no such experiment ({', '.join(known)} come with the program), and as a "
-                           f"file it cannot be read: {getattr(error, 'strerror', error)}") from None
+            raise BadInput(
+                f"{told}: no such experiment ({', '.join(known)} come with the program), and as a "
+                f"file it cannot be read: {getattr(error, 'strerror', error)}"
+            ) from None
     for change in changes:
         text = changed(text, change)
     read = ini.parse(path, text, {**SECTIONS, "class.*": Class})
@@ -142,11 +145,20 @@
     if not equals:
         raise BadInput(f"--set {change!r:.60} is no KEY=VALUE")
     if not dot:
-        having = [each for each, struct in SECTIONS.items()
-                  if name in (field.name for field in msgspec.structs.fields(struct))]
+        having = [
+            each
+            for each, struct in SECTIONS.items()
+            if name in (field.name for field in msgspec.structs.fields(struct))
+        ]
         if len(having) != 1:
-            raise BadInput(f"--set {name!r:.60}: " + ("no section has this key" if not having else
-                           "sections " + ", ".join(having) + " have it, so name one as SECTION.KEY"))
+            raise BadInput(
+                f"--set {name!r:.60}: "
+                + (
+                    "no section has this key"
+                    if not having
+                    else "sections " + ", ".join(having) + " have it, so name one as SECTION.KEY"
+                )
+            )
         section = having[0]
     found, kept = "", []
     for line in text.splitlines():
--- a/granitespool/lab/world.py
+++ b/granitespool/lab/world.py
@@ -1,6 +1,7 @@
 """The emulator: one virtual clock, stand-ins for backends, proxies, collectors, channel and discovery, and
 one real coordinator among them at a time. All chance comes from one seed; no clock of the machine is
 read."""
+
 import heapq
 from bisect import bisect
 from itertools import accumulate
@@ -9,14 +10,14 @@
 from granitespool.facade import GONE, PEERS, PROBES, REMARKS, Coordinator
 from granitespool.settings import MS
 
-SECOND = 1_000_000_000       # ns
-BEGAN = 10**18               # ns: the virtual clock begins here
-ERROR = 5 * MS               # ns that a quick failure takes
-PROBE = 2 * MS               # ns that a probe's answer takes
-PROBE_LATE = SECOND // 2     # ns after which a probe without an answer is late: the service's
-APPLY = 5 * MS               # ns in which a proxy applies a message
-BATCH = 10 * MS              # ns within which what arrives at the coordinator is one turn
-MIN_ROUND = 0.1              # part of the way to another zone that a round trip within one takes
+SECOND = 1_000_000_000  # ns
+BEGAN = 10**18  # ns: the virtual clock begins here
+ERROR = 5 * MS  # ns that a quick failure takes
+PROBE = 2 * MS  # ns that a probe's answer takes
+PROBE_LATE = SECOND // 2  # ns after which a probe without an answer is late: the service's
+APPLY = 5 * MS  # ns in which a proxy applies a message
+BATCH = 10 * MS  # ns within which what arrives at the coordinator is one turn
+MIN_ROUND = 0.1  # part of the way to another zone that a round trip within one takes
 
 
 class Backend:
@@ -24,7 +25,7 @@
 
     def __init__(self, name, zone, kind, workers, service):
         self.name, self.zone, self.kind, self.service = name, zone, kind, service
-        self.free = [0] * workers    # when each worker is free, a heap
+        self.free = [0] * workers  # when each worker is free, a heap
         self.failing, self.dead, self.started, self.slow = 0.0, False, 0, 1.0
 
     def answer(self, now, random, fleet):
@@ -86,19 +87,23 @@
         self.backends = {}
         for k in range(backends):
             name = f"s-{k:05d}"
-            self.backends[name] = Backend(name, self.zones[k % len(self.zones)], "m", fleet.workers,
-                                          fleet.service_ms * MS)
+            self.backends[name] = Backend(
+                name, self.zones[k % len(self.zones)], "m", fleet.workers, fleet.service_ms * MS
+            )
         self.strike(list(self.backends.values()))
         equal = dict.fromkeys(self.backends, 1.0)
         self.proxies = [Proxy(k, self.zones[k % len(self.zones)], dict(equal)) for k in range(proxies)]
-        able = sum(fleet.workers / (fleet.service_ms / 1e3 * each.slow)
-                   for each in self.backends.values() if not each.dead)
-        self.rate = fleet.load * able                # transactions a second of all proxies
+        able = sum(
+            fleet.workers / (fleet.service_ms / 1e3 * each.slow)
+            for each in self.backends.values()
+            if not each.dead
+        )
+        self.rate = fleet.load * able  # transactions a second of all proxies
         self.names = list(self.classes)
         self.shares = list(accumulate(each.share for each in self.classes.values()))
-        self.served = {}             # (second, class) -> [asked, in time, late, failed, refused]
-        self.met = {}                # second -> {(zone, backend): [tries, failed, answered, ns]}
-        self.asked = {}              # (proxy, class) -> [asked, not answered]
+        self.served = {}  # (second, class) -> [asked, in time, late, failed, refused]
+        self.met = {}  # second -> {(zone, backend): [tries, failed, answered, ns]}
+        self.asked = {}  # (proxy, class) -> [asked, not answered]
         self.coordinator, self.lives, self.due, self.channel = None, 0, None, 0
         self.incoming, self.faults = [], []
         self.at(self._gap(), self._arrival)
@@ -111,13 +116,14 @@
         for each in order:
             each.slow, each.failing, each.dead = 1.0, 0.0, False
         count = len(order)
-        slow, failing, dead = (round(count * share) for share in (
-            fleet.slow_share, fleet.failing_share, fleet.dead_share))
+        slow, failing, dead = (
+            round(count * share) for share in (fleet.slow_share, fleet.failing_share, fleet.dead_share)
+        )
         for each in order[:slow]:
             each.slow = fleet.slow_factor
-        for each in order[slow:slow + failing]:
+        for each in order[slow : slow + failing]:
             each.failing = fleet.failing_part
-        for each in order[slow + failing:slow + failing + dead]:
+        for each in order[slow + failing : slow + failing + dead]:
             each.dead = True
 
     def change_places(self):
@@ -196,11 +202,28 @@
         met, asked, self.asked = self.met.pop(second, {}), self.asked, {}
         if self.coordinator is None:
             return
-        words = [("heard", {"zone": zone, "backend": backend, "tries": tries, "failed": failed,
-                            "mean": spent // answered if answered else 0, "window": SECOND, "load": {}})
-                 for (zone, backend), (tries, failed, answered, spent) in met.items()]
-        words += [("arrivals", {"proxy": number, "grade": name, "number": told, "unanswered": lost,
-                                "window": SECOND}) for (number, name), (told, lost) in asked.items()]
+        words = [
+            (
+                "heard",
+                {
+                    "zone": zone,
+                    "backend": backend,
+                    "tries": tries,
+                    "failed": failed,
+                    "mean": spent // answered if answered else 0,
+                    "window": SECOND,
+                    "load": {},
+                },
+            )
+            for (zone, backend), (tries, failed, answered, spent) in met.items()
+        ]
+        words += [
+            (
+                "arrivals",
+                {"proxy": number, "grade": name, "number": told, "unanswered": lost, "window": SECOND},
+            )
+            for (number, name), (told, lost) in asked.items()
+        ]
         self.at(self.now + int(self.setup.channel.report_lag_ms * MS), self._arrive, self.lives, words)
 
     def _arrive(self, life, words):
@@ -211,28 +234,58 @@
             self._turn()
 
     def entries(self):
-        return [{"backend": each.name, "zone": each.zone, "kind": each.kind, "cell": 0, "phase": "ready",
-                 "weight": 1.0, "started": each.started} for each in self.backends.values()]
+        return [
+            {
+                "backend": each.name,
+                "zone": each.zone,
+                "kind": each.kind,
+                "cell": 0,
+                "phase": "ready",
+                "weight": 1.0,
+                "started": each.started,
+            }
+            for each in self.backends.values()
+        ]
 
     def _probe(self, life, name):
         backend = self.backends[name]
         took, status = (PROBE_LATE, "timeout") if backend.dead else (PROBE, "ok")
-        self.at(self.now + took, self._arrive, life, [("probed", {
-            "backend": name, "status": status, "took": took, "load": {}})])
+        self.at(
+            self.now + took,
+            self._arrive,
+            life,
+            [("probed", {"backend": name, "status": status, "took": took, "load": {}})],
+        )
 
     # The coordinator
 
     def settings(self):
         fleet, channel = self.setup.fleet, self.setup.channel
         lines = len(self.backends) * len(self.proxies) / channel.binding_s
-        return {"zones": self.zones, "probes": True, "admission": "fraction", "lines_per_s": lines,
-                "message_head": 1, "backlog_limit": 2 * lines, "standing_lines": len(self.backends),
-                "proxies_expected": len(self.proxies), "drain_grace": 10 * SECOND, "usual_retry": 0,
-                "cold_time": int(fleet.cold_s * SECOND), "cold_share": fleet.cold_share,
-                "classes": [{"name": name, "effect": "free" if each.again else "single_shot",
-                             "promised_time": int(each.promised_ms * MS),
-                             "time_limit": int(each.limit_ms * MS), "benefit": each.benefit}
-                            for name, each in self.classes.items()]}
+        return {
+            "zones": self.zones,
+            "probes": True,
+            "admission": "fraction",
+            "lines_per_s": lines,
+            "message_head": 1,
+            "backlog_limit": 2 * lines,
+            "standing_lines": len(self.backends),
+            "proxies_expected": len(self.proxies),
+            "drain_grace": 10 * SECOND,
+            "usual_retry": 0,
+            "cold_time": int(fleet.cold_s * SECOND),
+            "cold_share": fleet.cold_share,
+            "classes": [
+                {
+                    "name": name,
+                    "effect": "free" if each.again else "single_shot",
+                    "promised_time": int(each.promised_ms * MS),
+                    "time_limit": int(each.limit_ms * MS),
+                    "benefit": each.benefit,
+                }
+                for name, each in self.classes.items()
+            ],
+        }
 
     def start(self, recall=None, rejoin=0.0):
         """A coordinator's life begins with the list, what `recall(coordinator)` makes it recall, and proxies
@@ -258,8 +311,14 @@
     def _join(self, life, proxy):
         if life == self.lives and self.coordinator is not None:
             proxy.joined = True
-            self.coordinator.report(self.now, "joined", proxy=proxy.number, zone=proxy.zone,
-                                    standing=life == 1, rate=self.rate / len(self.proxies))
+            self.coordinator.report(
+                self.now,
+                "joined",
+                proxy=proxy.number,
+                zone=proxy.zone,
+                standing=life == 1,
+                rate=self.rate / len(self.proxies),
+            )
             self._soon()
 
     def _soon(self):
@@ -293,8 +352,13 @@
             self._turn()
 
     def _send(self, proxy, order):
-        lines = 2 + sum(len(lines) + whole for _, whole, lines in order["tables"]) + len(order["levels"]) \
-            + len(order["out"]) + len(order["back"])
+        lines = (
+            2
+            + sum(len(lines) + whole for _, whole, lines in order["tables"])
+            + len(order["levels"])
+            + len(order["out"])
+            + len(order["back"])
+        )
         self.channel = max(self.channel, self.now) + int(SECOND * lines / self.settings_pace())
         at = self.channel + int(self.setup.channel.delay_ms * MS)
         self.at(-(-at // BATCH) * BATCH, self._applied, self.lives, proxy, order, self.now)
@@ -319,8 +383,9 @@
     def table(self, zone):
         """{backend: share} of the coordinator's table for a zone; empty where there is none."""
         held = self.coordinator.planner.tables.get(zone, ()) if self.coordinator else ()
-        lines = {name: weight for table in held
-                 for name, weight in self.coordinator.tables.get(table, {}).items()}
+        lines = {
+            name: weight for table in held for name, weight in self.coordinator.tables.get(table, {}).items()
+        }
         total = sum(lines.values())
         return {name: weight / total for name, weight in lines.items()} if total else {}
 
@@ -330,6 +395,11 @@
         for name in self.names:
             rows = [row for second in range(first, last) if (row := self.served.get((second, name)))]
             asked, *outcomes = (sum(column) for column in zip(*rows)) if rows else (0, 0, 0, 0, 0)
-            found[name] = {"asked": asked, **{what: count / asked if asked else 0.0 for what, count in zip(
-                ("in_time", "late", "failed", "refused"), outcomes)}}
+            found[name] = {
+                "asked": asked,
+                **{
+                    what: count / asked if asked else 0.0
+                    for what, count in zip(("in_time", "late", "failed", "refused"), outcomes)
+                },
+            }
         return found
--- a/granitespool/manage/datastores.py
+++ b/granitespool/manage/datastores.py
@@ -11,6 +11,7 @@
 Refused, `unkeep(tree, version)` has this one outlast the process instead of what was kept last, `refused(by,
 why)` hears of each change that was refused. Times are whole nanoseconds. A session is any value that stands
 for itself; `by` is the name of its user, for the log."""
+
 import copy
 from typing import NamedTuple
 
@@ -28,7 +29,7 @@
     session: object
     persist: str | None
     due: int
-    before: dict             # the tree to go back to
+    before: dict  # the tree to go back to
 
 
 class Datastores:
@@ -37,11 +38,11 @@
     def __init__(self, model, host, tree, version=1):
         self.model, self.host = model, host
         self.trees, self.version = {RUNNING: tree, CANDIDATE: copy.deepcopy(tree), STARTUP: None}, version
-        self.base = version          # the version that the candidate was begun from
-        self.edited_by = None        # the session that changed the candidate, while it differs for that
-        self.locks = {}              # store -> session
+        self.base = version  # the version that the candidate was begun from
+        self.edited_by = None  # the session that changed the candidate, while it differs for that
+        self.locks = {}  # store -> session
         self.confirm = None
-        self.busy = None             # the session whose commit is being kept
+        self.busy = None  # the session whose commit is being kept
         self.commits = self.refused = 0
 
     # Reading
@@ -58,8 +59,11 @@
         if holder is not None:
             raise Refused("lock-denied", f"{store} is locked", session=holder)
         if store == CANDIDATE and self.edited_by is not None:
-            raise Refused("lock-denied", "candidate has changes that were neither committed nor discarded",
-                          session=self.edited_by)
+            raise Refused(
+                "lock-denied",
+                "candidate has changes that were neither committed nor discarded",
+                session=self.edited_by,
+            )
         if store == RUNNING and self.confirm and self.confirm.session is not session:
             raise Refused("lock-denied", "a commit waits to be confirmed", session=self.confirm.session)
         self.locks[store] = session
@@ -139,9 +143,11 @@
                 raise Refused("invalid-value", f"a commit may wait 1 to {CONFIRM_MOST} s to be confirmed")
             tree = self.trees[CANDIDATE]
             if self.edited_by is not None and self.base != self.version:
-                raise Refused("operation-failed",
-                              f"candidate was begun from version {self.base}, and running is "
-                                                  f"version {self.version} now: discard it and look anew")
+                raise Refused(
+                    "operation-failed",
+                    f"candidate was begun from version {self.base}, and running is "
+                    f"version {self.version} now: discard it and look anew",
+                )
         except Refused as error:
             return answer(self._refuse(by, error))
         before, first = self.trees[RUNNING], self.confirm.before if self.confirm else self.trees[RUNNING]
@@ -152,10 +158,12 @@
                     self.confirm = None
                 else:
                     held = self.confirm
-                    self.confirm = Confirm(session, persist or (held.persist if held else None),
-                                           now + int(timeout * 1e9), first)
+                    self.confirm = Confirm(
+                        session, persist or (held.persist if held else None), now + int(timeout * 1e9), first
+                    )
                 self._discard()
             answer(error)
+
         if tree == before and (self.confirm is None or timeout is not None):
             return done(None)
         return self._change(session, by, copy.deepcopy(tree), done, keep=timeout is None)
@@ -183,16 +191,23 @@
         waits = self.confirm
         if persist_id is not None and (waits is None or waits.persist != persist_id):
             raise Refused("invalid-value", "no commit with this persist-id waits to be confirmed")
-        if waits is not None and persist_id is None and (waits.persist is not None
-                                                         or waits.session is not session):
-            raise Refused("in-use", "a commit waits to be confirmed, by its session or with its persist-id",
-                          session=waits.session)
+        if (
+            waits is not None
+            and persist_id is None
+            and (waits.persist is not None or waits.session is not session)
+        ):
+            raise Refused(
+                "in-use",
+                "a commit waits to be confirmed, by its session or with its persist-id",
+                session=waits.session,
+            )
 
     def _change(self, session, by, tree, answer, keep=True, back=False):
         """Checks, keeps and applies a tree; one at a time. `back`: what ran before may run again."""
         if self.busy is not None:
-            return answer(self._refuse(by, Refused("in-use", "another commit is being kept",
-                                                   session=self.busy)))
+            return answer(
+                self._refuse(by, Refused("in-use", "another commit is being kept", session=self.busy))
+            )
         try:
             if not back:
                 self.validate(tree)
@@ -204,11 +219,12 @@
             self.busy = None
             try:
                 if why:
-                    raise Refused("resource-denied",
-                                  f"the settings could not be made to outlast a restart: {why}")
+                    raise Refused(
+                        "resource-denied", f"the settings could not be made to outlast a restart: {why}"
+                    )
                 self.host.apply(tree, by)
             except Refused as error:
-                if keep:     # it may be on the disk, or come there yet: no restart may begin with it
+                if keep:  # it may be on the disk, or come there yet: no restart may begin with it
                     self.host.unkeep(self.tree(STARTUP), self.version)
                 return answer(self._refuse(by, error))
             self.trees[RUNNING], self.version, self.commits = tree, self.version + 1, self.commits + 1
@@ -217,7 +233,8 @@
             if self.edited_by is None:
                 self._discard()
             return answer(None)
-        if not keep:                 # what may be undone in a minute must not be what a restart begins with
+
+        if not keep:  # what may be undone in a minute must not be what a restart begins with
             return kept(None)
         return self.host.keep(tree, self.version + 1, kept)
 
@@ -238,6 +255,7 @@
             if self.edited_by is None:
                 self._discard()
             answer(error)
+
         return self._change(self, by, before, done, keep=False, back=True)
 
     def due(self):
@@ -260,7 +278,7 @@
         if self.confirm and self.confirm.session is session and self.confirm.persist is None:
             if self.busy is None:
                 self._undo("session ended", told)
-            else:                    # as soon as the other commit is through
+            else:  # as soon as the other commit is through
                 self.confirm = self.confirm._replace(due=0)
 
     # The file
--- a/granitespool/manage/edits.py
+++ b/granitespool/manage/edits.py
@@ -3,6 +3,7 @@
 An edit is a tree of Changes whose operations are those of RFC 6241: merge, replace, create, delete, remove,
 none. A change without an operation has that of the change above it. `edited` works on a copy, so a refusal
 half way leaves nothing behind."""
+
 import copy
 from typing import NamedTuple
 
@@ -37,8 +38,9 @@
     keys = {child.name: child.value for child in change.children if child.name in node.keys}
     for name in node.keys:
         if keys.get(name) is None:
-            raise Refused("missing-element", f"an entry of {node.name} lacks its key {name}", path,
-                          element=name)
+            raise Refused(
+                "missing-element", f"an entry of {node.name} lacks its key {name}", path, element=name
+            )
     return {name: keys[name] for name in node.keys}
 
 
@@ -47,9 +49,13 @@
         raise Refused("invalid-value", f"{node.name} is state and cannot be set", (*path, (node.name, {})))
     operation = change.operation or inherited
     if operation not in OPERATIONS:
-        raise Refused("bad-attribute", f"there is no operation {operation!r:.40}", path,
-                      attribute="operation",
-                      element=node.name)
+        raise Refused(
+            "bad-attribute",
+            f"there is no operation {operation!r:.40}",
+            path,
+            attribute="operation",
+            element=node.name,
+        )
     _BY_KIND[node.kind](node, holder, change, operation, path)
 
 
@@ -64,7 +70,7 @@
 def _leaf(node, holder, change, operation, path):
     path = (*path, (node.name, {}))
     if operation == "none":
-        return                                   # it only names a place
+        return  # it only names a place
     _exists(node.name in holder, operation, node, path)
     if operation in ("delete", "remove"):
         holder.pop(node.name, None)
@@ -78,7 +84,7 @@
     path = (*path, (node.name, {}))
     there = node.name in holder
     if node.presence or operation in ("create", "delete"):
-        _exists(there, operation, node, path)    # without presence it is always there for all else
+        _exists(there, operation, node, path)  # without presence it is always there for all else
     if operation in ("delete", "remove"):
         holder.pop(node.name, None)
         return
@@ -135,22 +141,38 @@
 def _put(node, entries, entry, place, path):
     """Moves an entry to where the user wants it."""
     if not node.ordered:
-        raise Refused("bad-attribute", f"the order of {node.name} is not the user's", path,
-                      attribute="insert",
-                      element=node.name)
+        raise Refused(
+            "bad-attribute",
+            f"the order of {node.name} is not the user's",
+            path,
+            attribute="insert",
+            element=node.name,
+        )
     how, whom = place
-    entries[:] = [each for each in entries if each is not entry] if isinstance(entry, dict) else [
-        each for each in entries if each != entry]
+    entries[:] = (
+        [each for each in entries if each is not entry]
+        if isinstance(entry, dict)
+        else [each for each in entries if each != entry]
+    )
     if how in ("first", "last"):
         entries.insert(0 if how == "first" else len(entries), entry)
         return
-    at = next((k for k, each in enumerate(entries)
-               if each == whom or isinstance(whom, dict) and all(each.get(n) == v for n, v
-                                                                 in whom.items())), None)
+    at = next(
+        (
+            k
+            for k, each in enumerate(entries)
+            if each == whom or isinstance(whom, dict) and all(each.get(n) == v for n, v in whom.items())
+        ),
+        None,
+    )
     if at is None:
-        raise Refused("bad-attribute", f"{node.name} has no {whom!r:.60} to be put {how}", path,
-                      attribute="insert",
-                      element=node.name)
+        raise Refused(
+            "bad-attribute",
+            f"{node.name} has no {whom!r:.60} to be put {how}",
+            path,
+            attribute="insert",
+            element=node.name,
+        )
     entries.insert(at + (how == "after"), entry)
 
 
--- a/granitespool/manage/mapping.py
+++ b/granitespool/manage/mapping.py
@@ -2,6 +2,7 @@
 
 What a tree does not change keeps its exact value: a commit writes only the keys whose part of the tree
 differs."""
+
 import msgspec
 
 from granitespool.manage.model import SETTINGS
@@ -11,19 +12,27 @@
 
 # (container, leaf) -> (the settings' name, its form)
 LEAVES = {
-    ("channel", "lines-per-second"): ("lines_per_s", FIGURE), ("channel", "message-head"): ("message_head",
-                                                                                            FIGURE),
-    ("channel", "backlog-limit"): ("backlog_limit", FIGURE), ("channel",
-                                                              "messages-limit"): ("messages_limit", WHOLE),
-    ("channel", "messages-span"): ("messages_span", SPAN), ("channel", "admission"): ("admission", PLAIN),
-    ("permissions", "probes"): ("probes", PLAIN), ("permissions", "connect-timeout"): ("connect_timeout",
-                                                                                       SPAN),
-    ("drain", "grace"): ("drain_grace", SPAN), ("drain", "needs-entry"): ("drain_needs_entry", PLAIN),
-    ("cold", "time"): ("cold_time", SPAN), ("cold", "share"): ("cold_share", FIGURE),
+    ("channel", "lines-per-second"): ("lines_per_s", FIGURE),
+    ("channel", "message-head"): ("message_head", FIGURE),
+    ("channel", "backlog-limit"): ("backlog_limit", FIGURE),
+    ("channel", "messages-limit"): ("messages_limit", WHOLE),
+    ("channel", "messages-span"): ("messages_span", SPAN),
+    ("channel", "admission"): ("admission", PLAIN),
+    ("permissions", "probes"): ("probes", PLAIN),
+    ("permissions", "connect-timeout"): ("connect_timeout", SPAN),
+    ("drain", "grace"): ("drain_grace", SPAN),
+    ("drain", "needs-entry"): ("drain_needs_entry", PLAIN),
+    ("cold", "time"): ("cold_time", SPAN),
+    ("cold", "share"): ("cold_share", FIGURE),
+}
+CLASS = {
+    "name": ("name", PLAIN),
+    "effect": ("effect", PLAIN),
+    "promised-time": ("promised_time", SPAN),
+    "time-limit": ("time_limit", SPAN),
+    "benefit": ("benefit", FIGURE),
+    "late-share": ("late_share", FIGURE),
 }
-CLASS = {"name": ("name", PLAIN), "effect": ("effect", PLAIN), "promised-time": ("promised_time", SPAN),
-         "time-limit": ("time_limit", SPAN), "benefit": ("benefit", FIGURE), "late-share": ("late_share",
-                                                                                            FIGURE)}
 LIMITS = {"descriptors": "sockets", "memory-mb": "memory_mb"}  # leaf -> the configuration's name
 STATE_DECIMALS = "half-life-s", "oldest-s"
 
@@ -35,8 +44,15 @@
 
 
 def _out(value, form):
-    return str(int(value) // US) if form == SPAN else decimal(value) if form == FIGURE else \
-        int(value) if form == WHOLE else value
+    return (
+        str(int(value) // US)
+        if form == SPAN
+        else decimal(value)
+        if form == FIGURE
+        else int(value)
+        if form == WHOLE
+        else value
+    )
 
 
 def _in(value, form):
@@ -56,9 +72,10 @@
         value = settings.get(name)
         if value is not None and not (name == "drain_needs_entry" and value is False):
             tree.setdefault(group, {})[leaf] = _out(value, form)
-    classes = [{leaf: _out(kind[name], form) for leaf, (name, form) in CLASS.items()
-                if kind.get(name) is not None}
-               for kind in settings.get("classes") or ()]
+    classes = [
+        {leaf: _out(kind[name], form) for leaf, (name, form) in CLASS.items() if kind.get(name) is not None}
+        for kind in settings.get("classes") or ()
+    ]
     if classes:
         tree["class"] = classes
     if settings.get("zones"):
@@ -68,10 +85,14 @@
         tree["limits"] = {leaf: int(limits[name]) for leaf, name in LIMITS.items() if name in limits}
     operator = config.get("operator")
     if operator and operator.state:
-        state = {key.replace("_", "-"): value for key, value
-                 in msgspec.structs.asdict(operator.state).items()}
-        tree["operator"] = {"state": {key: decimal(value, 3) if key in STATE_DECIMALS else value
-                                      for key, value in state.items()}}
+        state = {
+            key.replace("_", "-"): value for key, value in msgspec.structs.asdict(operator.state).items()
+        }
+        tree["operator"] = {
+            "state": {
+                key: decimal(value, 3) if key in STATE_DECIMALS else value for key, value in state.items()
+            }
+        }
     return tree
 
 
@@ -86,15 +107,17 @@
                 settings[name] = _in(new, form)
     if tree.get("class") != before.get("class"):
         former = {kind.get("name"): kind for kind in settings.get("classes") or ()}
-        settings["classes"] = [_class(entry, former.get(entry["name"], {}), CLASS) for entry
-                               in tree.get("class", ())]
+        settings["classes"] = [
+            _class(entry, former.get(entry["name"], {}), CLASS) for entry in tree.get("class", ())
+        ]
     if tree.get("zone") != before.get("zone"):
         settings["zones"] = list(tree.get("zone", ()))
     result = {**config, "settings": settings}
     if tree.get("limits") != before.get("limits"):
         new = tree.get("limits", {})
-        result["limits"] = {name: new[leaf] for leaf, name in LIMITS.items() if leaf in new} \
-            or dict(config["limits_told"])
+        result["limits"] = {name: new[leaf] for leaf, name in LIMITS.items() if leaf in new} or dict(
+            config["limits_told"]
+        )
     if tree.get("operator") != before.get("operator"):
         result["operator"] = _operator(tree.get("operator", {}), config.get("operator"))
     return result
@@ -113,9 +136,12 @@
 
 def _operator(tree, former):
     from granitespool.operator import Operator, State  # noqa: PLC0415 only where a manager sets it
+
     state = tree.get("state")
-    values = state and {key.replace("-", "_"): float(value) if key in STATE_DECIMALS else value
-                        for key, value in state.items()}
+    values = state and {
+        key.replace("-", "_"): float(value) if key in STATE_DECIMALS else value
+        for key, value in state.items()
+    }
     return msgspec.structs.replace(former or Operator(), state=State(**values) if values else None)
 
 
--- a/granitespool/manage/model.py
+++ b/granitespool/manage/model.py
@@ -1,4 +1,5 @@
 """The YANG module: its nodes as plain objects, and the check of a tree of settings by yangson."""
+
 import importlib.resources
 import json
 from math import isfinite
@@ -14,16 +15,30 @@
 NAMESPACE = "urn:granitespool:coordinator"
 TOP, SETTINGS, STATE = "coordinator", "settings", "state"
 KINDS = ((ContainerNode, "container"), (ListNode, "list"), (LeafListNode, "leaf-list"), (LeafNode, "leaf"))
-TAGS = {"missing-data": "missing-element", "must-violation": "operation-failed",
-        "list-key": "missing-element",
-        "non-unique-key": "operation-failed", "data-not-unique": "operation-failed"}
+TAGS = {
+    "missing-data": "missing-element",
+    "must-violation": "operation-failed",
+    "list-key": "missing-element",
+    "non-unique-key": "operation-failed",
+    "data-not-unique": "operation-failed",
+}
 
 
 class Node:
     """A data node: `kind` is container, list, leaf-list or leaf; children by name."""
 
-    __slots__ = ("children", "config", "default", "keys", "kind", "name", "ordered", "parent", "presence",
-                 "type")
+    __slots__ = (
+        "children",
+        "config",
+        "default",
+        "keys",
+        "kind",
+        "name",
+        "ordered",
+        "parent",
+        "presence",
+        "type",
+    )
 
     def __init__(self, schema, parent):
         self.kind = next(kind for of, kind in KINDS if isinstance(schema, of))
@@ -75,8 +90,19 @@
 
 class Model:
     def __init__(self):
-        library = {"ietf-yang-library:modules-state": {"module-set-id": REVISION, "module": [
-            {"name": MODULE, "revision": REVISION, "namespace": NAMESPACE, "conformance-type": "implement"}]}}
+        library = {
+            "ietf-yang-library:modules-state": {
+                "module-set-id": REVISION,
+                "module": [
+                    {
+                        "name": MODULE,
+                        "revision": REVISION,
+                        "namespace": NAMESPACE,
+                        "conformance-type": "implement",
+                    }
+                ],
+            }
+        }
         with importlib.resources.as_file(importlib.resources.files("granitespool.manage")) as folder:
             self.data = DataModel(json.dumps(library), (str(folder),))
         self.top = Node(self.data.get_data_node(f"/{MODULE}:{TOP}"), None)
@@ -88,9 +114,11 @@
             instance = self.data.from_raw({f"{MODULE}:{TOP}": {SETTINGS: settings}})
             instance.validate(ctype=ContentType.config)
         except ValidationError as error:
-            raise Refused(TAGS.get(error.tag, "invalid-value"), self._sentence(error.instance.json_pointer(),
-                                                                               error),
-                          pointer(error.instance.json_pointer())) from None
+            raise Refused(
+                TAGS.get(error.tag, "invalid-value"),
+                self._sentence(error.instance.json_pointer(), error),
+                pointer(error.instance.json_pointer()),
+            ) from None
         except RawDataError as error:
             tag = "unknown-element" if type(error).__name__ == "RawMemberError" else "invalid-value"
             raise Refused(tag, self._sentence(str(error.path), error), pointer(str(error.path))) from None
--- a/granitespool/manage/picture.py
+++ b/granitespool/manage/picture.py
@@ -5,11 +5,12 @@
     picture.tree                            # the whole of `state`
 
 Each backend is as it is when its piece is taken; what changes meanwhile shows in the next picture."""
+
 from granitespool.manage.mapping import decimal
 from granitespool.settings import US
 
-PIECE = 40          # backend and zone pairs taken in one step: half a millisecond
-FIGURE_MOST = 1e9   # the module's largest figure
+PIECE = 40  # backend and zone pairs taken in one step: half a millisecond
+FIGURE_MOST = 1e9  # the module's largest figure
 
 
 class Picture:
@@ -22,15 +23,28 @@
     def steps(self):
         coordinator, facts = self.coordinator, self.facts
         fleet = coordinator.pictured_fleet()
-        self.tree.update({
-            "name": facts["name"], "version": facts["version"],
-            "discovery": {"index": str(facts["index"]), "named": facts["named"],
-                          "age": str(max(0, facts["age"]) // US)},
-            "proxies": {"joined": fleet["joined"], "waiting": fleet["unbound"]},
-            "channel": {"waiting": str(max(0, int(fleet["waiting"]))), "lag": str(int(fleet["lag"]) // US)},
-            "fleet": {"strained": fleet["strained"], "let-in": decimal(fleet["room"]),
-                      "answered": decimal(min(1.0, max(0.0, fleet["through"])))},
-            "counters": {"commits": facts["commits"], "refused": facts["refused"]}})
+        self.tree.update(
+            {
+                "name": facts["name"],
+                "version": facts["version"],
+                "discovery": {
+                    "index": str(facts["index"]),
+                    "named": facts["named"],
+                    "age": str(max(0, facts["age"]) // US),
+                },
+                "proxies": {"joined": fleet["joined"], "waiting": fleet["unbound"]},
+                "channel": {
+                    "waiting": str(max(0, int(fleet["waiting"]))),
+                    "lag": str(int(fleet["lag"]) // US),
+                },
+                "fleet": {
+                    "strained": fleet["strained"],
+                    "let-in": decimal(fleet["room"]),
+                    "answered": decimal(min(1.0, max(0.0, fleet["through"]))),
+                },
+                "counters": {"commits": facts["commits"], "refused": facts["refused"]},
+            }
+        )
         if facts["folder"]:
             written, batches, failing = facts["folder"]
             self.tree["state-folder"] = {"written": str(written), "batches": batches, "failing": failing}
@@ -41,7 +55,7 @@
             if number % piece == 0:
                 yield
             facts_of = coordinator.pictured(name)
-            if facts_of is not None:             # it may have been forgotten meanwhile
+            if facts_of is not None:  # it may have been forgotten meanwhile
                 backends.append(_backend(name, *facts_of))
         if backends:
             self.tree["backend"] = backends
@@ -51,8 +65,10 @@
 def _table(zone, lines, levels):
     table = {"zone": zone, "lines": lines}
     if levels:
-        table["level"] = [{"class": name, "share": decimal(min(share, FIGURE_MOST)), "retry": retry}
-                          for name, (share, retry) in levels.items()]
+        table["level"] = [
+            {"class": name, "share": decimal(min(share, FIGURE_MOST)), "retry": retry}
+            for name, (share, retry) in levels.items()
+        ]
     return table
 
 
--- a/granitespool/manage/rights.py
+++ b/granitespool/manage/rights.py
@@ -3,6 +3,7 @@
 A user's `certificate` names one thing that the certificate must have: cn:NAME (its subject's common name),
 dns:NAME, email:NAME or uri:NAME (a subject alternative name), or sha256:DIGEST (of the certificate itself).
 The certificate is trusted by then: its chain was checked when the connection was made."""
+
 from granitespool.manage.refused import Refused
 
 ALL = "*"
@@ -34,8 +35,16 @@
 
 def user_of(users, facts):
     """The first user that these facts stand for, or None."""
-    return next((user for user in users if (user.kind, user.value) in facts or
-                 user.kind == "sha256" and (user.kind, user.value.lower().replace(":", "")) in facts), None)
+    return next(
+        (
+            user
+            for user in users
+            if (user.kind, user.value) in facts
+            or user.kind == "sha256"
+            and (user.kind, user.value.lower().replace(":", "")) in facts
+        ),
+        None,
+    )
 
 
 def must_read(user):
--- a/granitespool/net/bind.py
+++ b/granitespool/net/bind.py
@@ -1,10 +1,11 @@
 """Taking an address that a former process may still hold for a moment."""
+
 import errno
 import time
 
-TAKEN = 5.0    # s that a start waits for a former process to give the address up: a planned restart gives it
+TAKEN = 5.0  # s that a start waits for a former process to give the address up: a planned restart gives it
 #                0.7 s from SIGTERM to SIGKILL, and a start may take 30 s
-AGAIN = 0.02   # s between two looks
+AGAIN = 0.02  # s between two looks
 
 
 def bind(sock, address, log, most=TAKEN):
--- a/granitespool/net/buffers.py
+++ b/granitespool/net/buffers.py
@@ -1,7 +1,7 @@
 """Buffers of one size, taken from a pool and given back to it."""
 
-SIZE = 16 * 1024   # bytes of a buffer: a usual second of one party's reports in one read
-KEPT = 32          # free buffers kept for use again, 512 KiB: more only stand by after a burst
+SIZE = 16 * 1024  # bytes of a buffer: a usual second of one party's reports in one read
+KEPT = 32  # free buffers kept for use again, 512 KiB: more only stand by after a burst
 
 
 class Pool:
--- a/granitespool/net/client.py
+++ b/granitespool/net/client.py
@@ -1,4 +1,5 @@
 """Steps that coroutines share: dialling a party, asking it by HTTP, taking what it sends."""
+
 import errno
 import socket
 
@@ -23,7 +24,7 @@
 def send(sock, data, due):
     while data:
         try:
-            data = data[sock.send(data):]
+            data = data[sock.send(data) :]
         except BlockingIOError:
             if not (yield sock.fileno(), OUT, due):
                 raise TimeoutError("not taken in time") from None
@@ -32,8 +33,13 @@
 def ask(sock, where, target, due, *headers):
     """Sends a GET; returns the h11 connection that is to read the answer."""
     http = h11.Connection(h11.CLIENT)
-    yield from send(sock, http.send(h11.Request(
-        method="GET", target=target, headers=[("Host", "{}:{}".format(*where)), *headers])), due)
+    yield from send(
+        sock,
+        http.send(
+            h11.Request(method="GET", target=target, headers=[("Host", "{}:{}".format(*where)), *headers])
+        ),
+        due,
+    )
     http.send(h11.EndOfMessage())
     return http
 
--- a/granitespool/net/config.py
+++ b/granitespool/net/config.py
@@ -1,17 +1,18 @@
 """The configuration: one JSON file, told by LB_CONFIG."""
+
 import orjson
 
 from granitespool.net.buffers import SIZE
 from granitespool.settings import BadInput, figure, need, settings_map
 
-SOCKETS = 1024     # descriptors where no limit is told: the platform's largest
-MEMORY_MB = 192    # MB where no limit is told: the platform's largest
+SOCKETS = 1024  # descriptors where no limit is told: the platform's largest
+MEMORY_MB = 192  # MB where no limit is told: the platform's largest
 SOCKETS_LEAST = 25  # descriptors under which nobody is served: the others, a probe and some connections
-OTHERS = 16        # descriptors for standard streams, the loop, the listener, datagrams, the watch, a file,
+OTHERS = 16  # descriptors for standard streams, the loop, the listener, datagrams, the watch, a file,
 #                    and a few strangers where those who joined hold all places
-PROBES_PART = 8    # one descriptor in so many is for probes: a server each of the smallest limit's fleet
-PROBES_MOST = 64   # probes in the air at most: more tell nothing sooner
-BUFFERS_PART = 4   # one byte in so many of the memory may be receive buffers: the program takes half of 32 MB
+PROBES_PART = 8  # one descriptor in so many is for probes: a server each of the smallest limit's fleet
+PROBES_MOST = 64  # probes in the air at most: more tell nothing sooner
+BUFFERS_PART = 4  # one byte in so many of the memory may be receive buffers: the program takes half of 32 MB
 
 
 def address(text):
@@ -29,14 +30,20 @@
     if sockets < SOCKETS_LEAST or figure(limits, "memory_mb") < 1:
         raise BadInput(f"the limits leave no room to serve: {SOCKETS_LEAST} sockets and 1 MB are the least")
     probes = min(PROBES_MOST, sockets // PROBES_PART)
-    return {"sockets": sockets, "probes": max(1, probes), "connections": max(8, sockets - OTHERS - probes),
-            "buffers": int(figure(limits, "memory_mb")) * (1 << 20) // BUFFERS_PART // SIZE}
+    return {
+        "sockets": sockets,
+        "probes": max(1, probes),
+        "connections": max(8, sockets - OTHERS - probes),
+        "buffers": int(figure(limits, "memory_mb")) * (1 << 20) // BUFFERS_PART // SIZE,
+    }
 
 
 def told_limits(limits):
     """{sockets, memory_mb} as they are told, or the usual ones."""
-    return {key: int(usual if limits.get(key) is None else limits[key]) for key, usual in (
-        ("sockets", SOCKETS), ("memory_mb", MEMORY_MB))}
+    return {
+        key: int(usual if limits.get(key) is None else limits[key])
+        for key, usual in (("sockets", SOCKETS), ("memory_mb", MEMORY_MB))
+    }
 
 
 def load(path):
@@ -65,8 +72,13 @@
     except ValueError:
         raise BadInput(f"the seed {seed!r:.40} is not in hex digits") from None
     limits, wire = told.get("limits") or {}, need(told, "settings", dict)
-    for key, kind in (("classes", list), ("zones", list), ("family_info", dict), ("rules", dict),
-                      ("permissions", dict)):
+    for key, kind in (
+        ("classes", list),
+        ("zones", list),
+        ("family_info", dict),
+        ("rules", dict),
+        ("permissions", dict),
+    ):
         if not isinstance(wire.get(key) or kind(), kind):
             raise BadInput(f"the settings' {key!r} are not a JSON {'array' if kind is list else 'object'}")
     if not all(isinstance(each, dict) for each in wire.get("classes") or ()):
@@ -74,10 +86,13 @@
     if not isinstance(limits, dict):
         raise BadInput("the limits are not a JSON object")
     return {
-        "name": need(told, "name", str), "listen": address(need(told, "listen", str)),
-        "discovery": address(need(told, "discovery", str)), "seed": seed,
+        "name": need(told, "name", str),
+        "listen": address(need(told, "listen", str)),
+        "discovery": address(need(told, "discovery", str)),
+        "seed": seed,
         **shares({key: limit for key, limit in limits.items() if limit is not None}),
-        "limits": told_limits(limits), "limits_told": told_limits(limits),
+        "limits": told_limits(limits),
+        "limits_told": told_limits(limits),
         "peer_listen": address(told["peer_listen"]) if told.get("peer_listen") else None,
         "peers": [address(peer) for peer in told.get("peers") or ()],
         "peers_all": address(told["peers_all"]) if told.get("peers_all") else None,
@@ -89,7 +104,9 @@
 def summary(config):
     """One line for a person: what this configuration holds."""
     settings = config["settings"]
-    return (f"{config['name']} listens on {config['listen'][0]}:{config['listen'][1]}, "
-            f"{len(settings.get('zones') or ())} zones, {len(settings['classes'])} classes, "
-            f"{len(config['known'].get('endpoints') or ())} backends known, {len(config['peers'])} peers, "
-            f"{config['sockets']} sockets")
+    return (
+        f"{config['name']} listens on {config['listen'][0]}:{config['listen'][1]}, "
+        f"{len(settings.get('zones') or ())} zones, {len(settings['classes'])} classes, "
+        f"{len(config['known'].get('endpoints') or ())} backends known, {len(config['peers'])} peers, "
+        f"{config['sockets']} sockets"
+    )
--- a/granitespool/net/discovery.py
+++ b/granitespool/net/discovery.py
@@ -1,6 +1,7 @@
 """Discovery: a watch of the list, dialled again whenever it ends or goes silent.
 
 The list that was last heard stays meanwhile."""
+
 import socket
 
 import h11
@@ -11,27 +12,27 @@
 from granitespool.net.loop import SECOND
 from granitespool.settings import MS, SOCKETS, BadInput, figure, list_entry, need
 
-DIAL = SECOND                # ns for a connection to come up: the agent is on this machine
-BEAT = 9 * SECOND // 4       # ns without a byte after which a watch is dead: an empty line comes every 2 s
-LINE = 4 * BEAT              # ns within which a line has to end: what is to be told counts as told after 6 s
-REASK = SECOND               # ns until what could not be read is asked for again, the first time
-REASK_MOST = 60 * SECOND     # ns between two such askings at most: an entry may stay wrong for good
-WAIT_FIRST = SECOND // 20    # ns before the first new dialling
-WAIT_MOST = SECOND           # ns between diallings at most: the agent answers at no cost
-GROWTH = 2                   # factor from one wait to the next
-JITTER = 0.5, 1.0            # part of the wait that is waited
-LINE_MOST = 8 << 20          # bytes of one line: a list of ten thousand backends
+DIAL = SECOND  # ns for a connection to come up: the agent is on this machine
+BEAT = 9 * SECOND // 4  # ns without a byte after which a watch is dead: an empty line comes every 2 s
+LINE = 4 * BEAT  # ns within which a line has to end: what is to be told counts as told after 6 s
+REASK = SECOND  # ns until what could not be read is asked for again, the first time
+REASK_MOST = 60 * SECOND  # ns between two such askings at most: an entry may stay wrong for good
+WAIT_FIRST = SECOND // 20  # ns before the first new dialling
+WAIT_MOST = SECOND  # ns between diallings at most: the agent answers at no cost
+GROWTH = 2  # factor from one wait to the next
+JITTER = 0.5, 1.0  # part of the wait that is waited
+LINE_MOST = 8 << 20  # bytes of one line: a list of ten thousand backends
 
 
 class Discovery:
     def __init__(self, loop, coordinator, log, config, uniform):
         self.loop, self.coordinator, self.log, self.uniform = loop, coordinator, log, uniform
         self.where, self.index, self.told_at = config["discovery"], 0, loop.now
-        self.heard_at = loop.now     # when a line came last, news or not
+        self.heard_at = loop.now  # when a line came last, news or not
         self.after, self.unread = 0, False  # version that is asked from; was anything since it not readable
         self.fresh, self.reask, self.reask_at = True, REASK, 0  # is the next message a watch's first
-        self.addresses = {}          # of every backend listed and not yet forgotten; None: none was told
-        self.named = False           # whether any list has named anyone
+        self.addresses = {}  # of every backend listed and not yet forgotten; None: none was told
+        self.named = False  # whether any list has named anyone
         self.news(config["known"])
         self.task = loop.spawn(self._watch())
 
@@ -56,7 +57,7 @@
                 entry = list_entry(row, SOCKETS)
             except BadInput as error:
                 self.log.often("entry_dropped", why=str(error))
-                form = "changes"     # what cannot be read is not gone: nobody leaves by being left out
+                form = "changes"  # what cannot be read is not gone: nobody leaves by being left out
                 unread = True
                 continue
             entries.append(entry)
@@ -65,7 +66,7 @@
         self._read_up_to(index, unread)
         self.named = self.named or bool(self.addresses)
         if not self.named:
-            return                   # the first list that names anyone is the one to start from
+            return  # the first list that names anyone is the one to start from
         if first:
             form = "restored"
         if entries or form != "changes":
@@ -93,7 +94,7 @@
         known = self.addresses.setdefault(backend)
         try:
             self.addresses[backend] = address(told) if told else known
-        except BadInput as error:    # the entry holds, it only cannot be probed at a new place
+        except BadInput as error:  # the entry holds, it only cannot be probed at a new place
             self.log.often("entry_dropped", backend=backend, why=str(error))
 
     def _watch(self):
@@ -102,8 +103,9 @@
             try:
                 with socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK) as sock:
                     yield from dial(sock, self.where, self.loop.now + DIAL)
-                    http = yield from ask(sock, self.where, f"/discovery/hosts?watch=1&after={self.after}",
-                                          self.loop.now + DIAL)
+                    http = yield from ask(
+                        sock, self.where, f"/discovery/hosts?watch=1&after={self.after}", self.loop.now + DIAL
+                    )
                     waiting, self.fresh, whole_by = b"", True, self.loop.now + LINE
                     while (event := http.next_event()) is not None:
                         if event is h11.NEED_DATA:
@@ -126,8 +128,12 @@
                         elif isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
                             raise BadInput("the list's watch was ended")
             except Exception as error:  # whatever it is: without a watch the list would stand for ever
-                self.log.event("watch_ended", why=str(error) or type(error).__name__, index=self.index,
-                               age_ms=(self.loop.now - self.heard_at) // MS)
+                self.log.event(
+                    "watch_ended",
+                    why=str(error) or type(error).__name__,
+                    index=self.index,
+                    age_ms=(self.loop.now - self.heard_at) // MS,
+                )
             yield None, 0, self.loop.now + int(wait * self.uniform(*JITTER))
             wait = min(WAIT_MOST, wait * GROWTH)
 
--- a/granitespool/net/door.py
+++ b/granitespool/net/door.py
@@ -11,6 +11,7 @@
 
 Managers never cost a proxy anything: their connections have a number of their own, what they ask is worked
 off in small steps, and who does not read is not read from."""
+
 import errno
 import socket
 import time
@@ -19,13 +20,13 @@
 from granitespool.net.loop import IN, OUT, SECOND
 from granitespool.net.tls import Broken, Secure
 
-BACKLOG = 16              # connections the system holds for us: managers are few
-HANDSHAKE = 5 * SECOND    # ns for the handshake: a long way and a slow client's signature
-READ = 8 * 1024           # bytes read in one turn: some thirty calls of gRPC, three milliseconds
-WRITE = 64 * 1024         # bytes written in one call
+BACKLOG = 16  # connections the system holds for us: managers are few
+HANDSHAKE = 5 * SECOND  # ns for the handshake: a long way and a slow client's signature
+READ = 8 * 1024  # bytes read in one turn: some thirty calls of gRPC, three milliseconds
+WRITE = 64 * 1024  # bytes written in one call
 UNSENT_HIGH = 256 * 1024  # bytes that wait for one manager past which nothing is read or worked on for it
-UNSENT_MOST = 4 << 20     # bytes that may wait at all: the largest answer in the making, and notifications
-STEP = 2_000_000          # ns of work in one turn for all of a door: half of what a turn may grow by
+UNSENT_MOST = 4 << 20  # bytes that may wait at all: the largest answer in the making, and notifications
+STEP = 2_000_000  # ns of work in one turn for all of a door: half of what a turn may grow by
 FULL_WAIT = SECOND // 20  # ns between accepts while there is no room
 
 
@@ -143,7 +144,7 @@
         if session.protocol is None:
             return session.since + HANDSHAKE
         if self._busy(session):
-            return self.loop.now + 1     # a step in each turn; due now, it would be resumed in this one
+            return self.loop.now + 1  # a step in each turn; due now, it would be resumed in this one
         idle = None if session.protocol.keeps else session.heard + self.idle
         dues = [due for due in (idle, session.protocol.due()) if due is not None]
         return max(min(dues), self.loop.now + 1) if dues else None
@@ -215,7 +216,7 @@
         try:
             self._flush(session)
         except OSError:
-            pass                     # it is closed all the same
+            pass  # it is closed all the same
 
     def _end(self, session, why):
         del self.sessions[session]
@@ -229,8 +230,9 @@
         finally:
             session.sock.close()
         if session.protocol is not None:
-            self.log.event("manager_ended", door=self.name, peer=session.peer, user=session.user.name,
-                           why=why)
+            self.log.event(
+                "manager_ended", door=self.name, peer=session.peer, user=session.user.name, why=why
+            )
         elif why not in ("closed", "given up"):
             self.log.often("manager_refused", door=self.name, peer=session.peer, why=why)
 
--- a/granitespool/net/figures.py
+++ b/granitespool/net/figures.py
@@ -23,9 +23,17 @@
             backends, untold = self.coordinator.unusual(self.options.backends)
             longest, self.longest = self.longest, 0
             self.log.event(
-                "figures", **{key: round(value, 3) if isinstance(value, float) else value
-                              for key, value in figures.items()},
-                list=self.discovery.index, list_age_ms=(self.loop.now - self.discovery.told_at) // MS,
-                turn_us=longest // 1_000, more=untold,
-                backends={name: [why, *(round(each, 2) for each in numbers)]
-                          for name, (why, *numbers) in backends.items()})
+                "figures",
+                **{
+                    key: round(value, 3) if isinstance(value, float) else value
+                    for key, value in figures.items()
+                },
+                list=self.discovery.index,
+                list_age_ms=(self.loop.now - self.discovery.told_at) // MS,
+                turn_us=longest // 1_000,
+                more=untold,
+                backends={
+                    name: [why, *(round(each, 2) for each in numbers)]
+                    for name, (why, *numbers) in backends.items()
+                },
+            )
--- a/granitespool/net/frames.py
+++ b/granitespool/net/frames.py
@@ -1,15 +1,16 @@
 """Frames of the streams: four bytes of length, least significant first, and one JSON object."""
+
 import json
 
 import orjson
 
 from granitespool.settings import BadInput
 
-LARGEST = 1 << 20    # bytes of a message at most: the protocol's
-PARTS = 64           # parts of a message at most: the protocol's
-PART_LINES = 2048    # lines in one part: 500 bytes a line keep it under the largest message
-HEAD = 4             # bytes of length
-UNTYPED = ""         # type of a message that is no object, or has no type that can be read
+LARGEST = 1 << 20  # bytes of a message at most: the protocol's
+PARTS = 64  # parts of a message at most: the protocol's
+PART_LINES = 2048  # lines in one part: 500 bytes a line keep it under the largest message
+HEAD = 4  # bytes of length
+UNTYPED = ""  # type of a message that is no object, or has no type that can be read
 
 
 def frame(message):
@@ -36,8 +37,8 @@
     """What one party has sent and is not read yet; owns the buffers it took from the pool."""
 
     def __init__(self, pool, largest):
-        self.pool, self.largest = pool, largest                  # bytes of a message at most, for now
-        self.chain, self.first, self.have = [], 0, 0             # [buffer, filled]; offset in the first
+        self.pool, self.largest = pool, largest  # bytes of a message at most, for now
+        self.chain, self.first, self.have = [], 0, 0  # [buffer, filled]; offset in the first
 
     def room(self):
         """A view to receive into, or None when the pool has no buffer left."""
@@ -71,7 +72,7 @@
     def _bytes(self, size):
         pieces, first = [], self.first
         for buffer, filled in self.chain:
-            piece = memoryview(buffer)[first:min(filled, first + size)]
+            piece = memoryview(buffer)[first : min(filled, first + size)]
             pieces.append(piece)
             size, first = size - len(piece), 0
             if not size:
@@ -95,7 +96,7 @@
     parts = []
     for classes, whole, lines in order["tables"]:
         for at in range(0, len(lines) or 1, PART_LINES):
-            part = {"type": "update", "lines": lines[at:at + PART_LINES]}
+            part = {"type": "update", "lines": lines[at : at + PART_LINES]}
             if classes is not None:
                 part["classes"] = classes
             if whole and not at:
--- a/granitespool/net/log.py
+++ b/granitespool/net/log.py
@@ -1,6 +1,7 @@
 """The log: one JSON line an event, by structlog over orjson; it never blocks the loop.
 
 Owns the descriptor it writes to only so far as its blocking mode, which `close` puts back."""
+
 import logging
 import os
 import select
@@ -10,10 +11,10 @@
 import structlog
 
 MOST = 256 * 1024  # bytes that wait for a reader: some thousand lines; later ones are counted and dropped
-OFTEN = 20         # lines a second of one event that others can cause at will: enough to see who and why
-WORD = 2000        # characters of a value that are kept: a traceback's end
-MS = 1_000_000     # ns in a millisecond
-LAST = 0.1         # s that the last lines wait for their reader
+OFTEN = 20  # lines a second of one event that others can cause at will: enough to see who and why
+WORD = 2000  # characters of a value that are kept: a traceback's end
+MS = 1_000_000  # ns in a millisecond
+LAST = 0.1  # s that the last lines wait for their reader
 
 Bound = structlog.make_filtering_bound_logger(logging.NOTSET)  # every event is a line; it holds no state
 
@@ -23,9 +24,10 @@
 
     def __init__(self, fd, clock, **always):
         self.fd, self.clock, self.waiting, self.size, self.dropped = fd, clock, [], 0, 0
-        self.second, self.told = 0, {}           # of the clock; event -> how often it came in that second
-        render = structlog.processors.JSONRenderer(orjson.dumps, default=str,
-                                                   option=orjson.OPT_APPEND_NEWLINE)
+        self.second, self.told = 0, {}  # of the clock; event -> how often it came in that second
+        render = structlog.processors.JSONRenderer(
+            orjson.dumps, default=str, option=orjson.OPT_APPEND_NEWLINE
+        )
         self.event = Bound(self, [self._stamped, render], always).info
         self.blocking = os.get_blocking(fd)
         os.set_blocking(fd, False)
@@ -66,7 +68,7 @@
             written = os.write(self.fd, data)
         except BlockingIOError:
             written = 0
-        except OSError:              # nobody reads any more: what waits is lost, the service goes on
+        except OSError:  # nobody reads any more: what waits is lost, the service goes on
             written = len(data)
         rest = data[written:]
         self.waiting, self.size = [rest] if rest else [], len(rest)
--- a/granitespool/net/loop.py
+++ b/granitespool/net/loop.py
@@ -4,6 +4,7 @@
 clock, None: never) is past or it was poked; `fd` None only waits. It owns its descriptor, and closes it in
 its own `finally`; before it opens another it waits once with `fd` None. One turn resumes all that is ready
 with one `now`, then calls the `end_of_turn` it was given."""
+
 import heapq
 import os
 import select
@@ -12,8 +13,8 @@
 
 IN, OUT = select.EPOLLIN, select.EPOLLOUT
 SECOND = 1_000_000_000  # ns
-EVENTS = 64             # events that room is made for beside one a descriptor: there is no cap on those
-IDLE = 60 * SECOND      # ns the loop sleeps at most: a bound for the system call alone
+EVENTS = 64  # events that room is made for beside one a descriptor: there is no cap on those
+IDLE = 60 * SECOND  # ns the loop sleeps at most: a bound for the system call alone
 
 
 class Task:
@@ -25,7 +26,7 @@
 
 class Loop:
     def __init__(self, failed, clock=None):
-        self.failed = failed     # called with an exception that a coroutine did not catch
+        self.failed = failed  # called with an exception that a coroutine did not catch
         self.epoll = select.epoll()
         self.tasks, self.timers, self.serial = {}, [], 0
         self.all, self.stopped = set(), False
@@ -103,7 +104,7 @@
         except Exception as error:
             self.end(task)
             return self.failed(error)
-        if due != task.due:      # else its timer stands already: one a wait, however often it is resumed
+        if due != task.due:  # else its timer stands already: one a wait, however often it is resumed
             self.serial += 1
             task.due, task.wait = due, self.serial
             if due is not None:
@@ -126,7 +127,7 @@
             try:
                 self.epoll.unregister(task.fd)
             except (OSError, ValueError):
-                pass             # its owner closed it already
+                pass  # its owner closed it already
         task.fd = None
 
     def _forget(self, task):
--- a/granitespool/net/managing.py
+++ b/granitespool/net/managing.py
@@ -2,6 +2,7 @@
 
 Made only where a door is on. Everything that changes settings, the file read anew as well, goes through the
 datastores, and is applied by the service in one turn or not at all."""
+
 import time
 from weakref import WeakValueDictionary
 
@@ -17,13 +18,13 @@
 from granitespool.net.tls import context
 from granitespool.settings import BadInput
 
-KEEP_MOST = 5 * SECOND     # ns that a commit's answer waits for the state folder: a worse disk has failed
-LOOK = SECOND              # ns between looks at what is notified of: the planner's period
-LOOK_PIECE = 200           # backend and zone pairs looked at in one step
+KEEP_MOST = 5 * SECOND  # ns that a commit's answer waits for the state folder: a worse disk has failed
+LOOK = SECOND  # ns between looks at what is notified of: the planner's period
+LOOK_PIECE = 200  # backend and zone pairs looked at in one step
 
 
 ALPN = {"netconf": None, "gnmi": "h2"}  # the protocol that a door's clients must agree to
-FRESH = SECOND // 4        # ns for which a picture serves several who ask
+FRESH = SECOND // 4  # ns for which a picture serves several who ask
 
 
 class Shared:
@@ -63,9 +64,9 @@
         except Refused as refused:
             raise BadInput(f"the settings do not fit the managers' model: {refused.why}") from None
         self.datastores = Datastores(self.model, self, tree)
-        self.base = service.file_tree              # the tree of the files as they were last read
-        self.from_file = None                      # the configuration that a reload brings, meanwhile
-        self.keeping = []                          # (ticket, due, answer) of what is on its way to the disk
+        self.base = service.file_tree  # the tree of the files as they were last read
+        self.from_file = None  # the configuration that a reload brings, meanwhile
+        self.keeping = []  # (ticket, due, answer) of what is on its way to the disk
         self.sessions, self.numbers = {}, 0
         self.list_seen = service.discovery.index, loop.now  # version of the list, since when
         self.cuts, self.levels, self.strained, self.doors = {}, {}, False, []
@@ -89,8 +90,17 @@
             from granitespool.netconf.session import Netconf as protocol  # noqa: PLC0415 only where it is on
         else:
             from granitespool.gnmi.session import Gnmi as protocol  # noqa: PLC0415
-        self.doors.append(Door(self.loop, self.log, name, made, settings, self._user,
-                               lambda user, session: self._enter(protocol, user, session)))
+        self.doors.append(
+            Door(
+                self.loop,
+                self.log,
+                name,
+                made,
+                settings,
+                self._user,
+                lambda user, session: self._enter(protocol, user, session),
+            )
+        )
 
     def _user(self, certificate, digest):
         return user_of(self.users, facts_of(certificate, digest))
@@ -147,8 +157,13 @@
         config = self._config(tree)
         coordinator = self.service.coordinator
         waits = () if self.from_file else self.service.waits(config)
-        harm.check(config, self.service.config, coordinator.pictured_fleet()["joined"],
-                   coordinator.joined_zones(), waits)
+        harm.check(
+            config,
+            self.service.config,
+            coordinator.pictured_fleet()["joined"],
+            coordinator.joined_zones(),
+            waits,
+        )
 
     def apply(self, tree, by):
         config = self._config(tree)
@@ -156,8 +171,9 @@
             waits = self.service.take(config)
         except Exception as error:
             self.loop.failed(error)
-            raise Refused("operation-failed", "a part could not take its settings, and all have their former "
-                                              "ones again") from None
+            raise Refused(
+                "operation-failed", "a part could not take its settings, and all have their former ones again"
+            ) from None
         version = self.datastores.version + 1
         self.log.event("settings_changed", by=by, version=version, waits_for_restart=waits)
         self.notify("settings-changed", version=version, by=by)
@@ -180,14 +196,20 @@
         stores = self.datastores
         if self.service.keeper is None:
             stores.trees[STARTUP] = None
-            return answer(Refused("operation-failed", "without a state folder nothing outlasts a restart, so "
-                                                      "startup cannot differ from running"))
+            return answer(
+                Refused(
+                    "operation-failed",
+                    "without a state folder nothing outlasts a restart, so "
+                    "startup cannot differ from running",
+                )
+            )
 
         def kept(why):
-            if why:                  # it may come there yet: a restart begins with what runs
+            if why:  # it may come there yet: a restart begins with what runs
                 stores.trees[STARTUP] = None
                 self.unkeep(stores.tree(STARTUP), stores.version)
             answer(Refused("resource-denied", why) if why else None)
+
         return self.keep(stores.tree(STARTUP), stores.version, kept)
 
     def end_of_turn(self, now):
@@ -237,11 +259,19 @@
 
     def picture(self):
         service, stores = self.service, self.datastores
-        return Picture(service.coordinator, {
-            "name": service.config["name"], "version": stores.version, "commits": stores.commits,
-            "refused": stores.refused, "index": service.discovery.index, "named": service.discovery.named,
-            "age": self.loop.now - self.list_seen[1],
-            "folder": service.keeper and service.keeper.figures()})
+        return Picture(
+            service.coordinator,
+            {
+                "name": service.config["name"],
+                "version": stores.version,
+                "commits": stores.commits,
+                "refused": stores.refused,
+                "index": service.discovery.index,
+                "named": service.discovery.named,
+                "age": self.loop.now - self.list_seen[1],
+                "folder": service.keeper and service.keeper.figures(),
+            },
+        )
 
     def notify(self, name, **fields):
         at = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(self.loop.now // SECOND))
@@ -260,8 +290,9 @@
             if fleet["strained"] != self.strained:
                 self.strained = fleet["strained"]
                 self.notify("strain", strained=self.strained)
-            levels = {(zone, name): level for zone, _, of in fleet["tables"] for name, (level, _)
-                      in of.items()}
+            levels = {
+                (zone, name): level for zone, _, of in fleet["tables"] for name, (level, _) in of.items()
+            }
             for (zone, name), share in levels.items():
                 if self.levels.get((zone, name), share) != share:
                     self.notify("levels-changed", zone=zone, **{"class": name}, share=mapping.decimal(share))
--- a/granitespool/net/peers.py
+++ b/granitespool/net/peers.py
@@ -1,11 +1,12 @@
 """Datagrams between coordinators; owns the UDP socket."""
+
 import socket
 
 from granitespool.net.bind import bind
 from granitespool.net.loop import IN
 
-LONGEST = 256     # bytes of a datagram at most: the protocol's
-AT_ONCE = 64      # datagrams read in one turn: the others are served between
+LONGEST = 256  # bytes of a datagram at most: the protocol's
+AT_ONCE = 64  # datagrams read in one turn: the others are served between
 
 
 class Peers:
@@ -30,11 +31,13 @@
                     except OSError:  # nothing more, or an earlier datagram was refused
                         break
                     if sender in self.numbers and len(data) <= LONGEST:
-                        self.coordinator.report(self.loop.now, "peer_said", sender=self.numbers[sender],
-                                                contents=data.hex())
+                        self.coordinator.report(
+                            self.loop.now, "peer_said", sender=self.numbers[sender], contents=data.hex()
+                        )
                     else:
-                        self.log.often("dropped", peer="{}:{}".format(*sender),
-                                       why="a datagram of no peer, or too long")
+                        self.log.often(
+                            "dropped", peer="{}:{}".format(*sender), why="a datagram of no peer, or too long"
+                        )
 
     def send(self, peer, contents):
         """To one peer by its number, or to all with -1."""
@@ -44,4 +47,4 @@
             if where and len(data) <= LONGEST:
                 self.sock.sendto(data, where)
         except OSError:
-            pass                  # late or never, as the protocol says
+            pass  # late or never, as the protocol says
--- a/granitespool/net/probes.py
+++ b/granitespool/net/probes.py
@@ -1,4 +1,5 @@
 """Probes: one coroutine for each health check in the air, which owns its socket."""
+
 import socket
 
 import h11
@@ -8,9 +9,9 @@
 from granitespool.net.loop import SECOND
 from granitespool.settings import load_map
 
-ANSWER = SECOND // 2    # ns from the start to the answer: half the planner's period
-DIAL = SECOND // 4      # ns for a connection to come up, where the settings name no time
-BODY_MOST = 4096        # bytes of a load report that are kept
+ANSWER = SECOND // 2  # ns from the start to the answer: half the planner's period
+DIAL = SECOND // 4  # ns for a connection to come up, where the settings name no time
+BODY_MOST = 4096  # bytes of a load report that are kept
 
 
 class Probes:
@@ -39,7 +40,7 @@
                     status = "timeout"
                     status, load = yield from self._ask(sock, where, started + ANSWER)
         except TimeoutError:
-            pass                 # unreachable before the connection was up, timeout after
+            pass  # unreachable before the connection was up, timeout after
         except (OSError, h11.ProtocolError):
             status = "reset" if status == "timeout" else status
         finally:
@@ -47,8 +48,9 @@
         # a turn of its own: the one that asked is not ended before the answer is reported
         yield None, 0, self.loop.now
         self.log.event("probed", backend=backend, status=status, ms=(self.loop.now - started) // 1_000_000)
-        self.coordinator.report(self.loop.now, "probed", backend=backend, status=status,
-                                took=self.loop.now - started, load=load)
+        self.coordinator.report(
+            self.loop.now, "probed", backend=backend, status=status, took=self.loop.now - started, load=load
+        )
 
     @staticmethod
     def _ask(sock, where, due):
--- a/granitespool/net/service.py
+++ b/granitespool/net/service.py
@@ -1,4 +1,5 @@
 """One coordinator on sockets: makes the parts, ends each turn, and gives all back at the end."""
+
 import time
 import traceback
 from random import Random
@@ -22,7 +23,7 @@
 
     def __init__(self, config, log_fd, clock=None, reread=None, mono=time.monotonic_ns):
         self.reread, self.rereads, self.mono, self.stops = reread, False, mono, 0
-        self.keeper = self.managing = None         # the state folder's, the managers', where they are on
+        self.keeper = self.managing = None  # the state folder's, the managers', where they are on
         self.loop = Loop(self._failed, clock)
         self.log = Log(log_fd, self.loop.clock, name=config["name"])
         try:
@@ -36,8 +37,10 @@
         self.file_tree = None
         if self.operator and self.operator.state:
             from granitespool.state.keeper import Keeper  # noqa: PLC0415 imported only where it is on
-            self.keeper = Keeper(self.loop, self.log, self.operator.state, config["name"], config["settings"],
-                                 self.mono)
+
+            self.keeper = Keeper(
+                self.loop, self.log, self.operator.state, config["name"], config["settings"], self.mono
+            )
             config = {**config, "known": self.keeper.first_list(config["known"])}
         if self.operator and self.operator.managed:
             config = self.with_room(self._as_managed(config))
@@ -50,18 +53,22 @@
         if self._has_peers(config):
             self.peers = Peers(self.loop, self.coordinator, self.log, config)
         self.pool = Pool(config["buffers"])
-        self.streams = Streams(self.loop, self.coordinator, self.log, self.pool, config,
-                               self.discovery.addresses)
+        self.streams = Streams(
+            self.loop, self.coordinator, self.log, self.pool, config, self.discovery.addresses
+        )
         if self.keeper:
             self.keeper.start(self.coordinator, self.discovery)
         if self.operator and self.operator.managed:
             from granitespool.net.managing import Managing  # noqa: PLC0415 imported only where it is on
+
             self.managing = Managing(self, self.loop, self.log)
         self.figures = None
         if self.operator and self.operator.figures:
             from granitespool.net.figures import Figures  # noqa: PLC0415 imported only where it is on
-            self.figures = Figures(self.loop, self.coordinator, self.log, self.operator.figures,
-                                   self.discovery)
+
+            self.figures = Figures(
+                self.loop, self.coordinator, self.log, self.operator.figures, self.discovery
+            )
         self.log.event("serving", listen="{}:{}".format(*config["listen"]))
 
     def with_room(self, config):
@@ -75,14 +82,16 @@
         """The configuration with what managers had changed in a former life, as long as the files are those
         that they changed it from."""
         from granitespool.manage import mapping  # noqa: PLC0415 imported only where it is on
+
         self.file_tree = mapping.tree_of(config)
         managed = self.keeper.managed() if self.keeper else None
         if managed is None:
             return config
         base, tree = managed
         if base != self.file_tree:
-            self.log.event("settings_dropped",
-                           why="the files have changed since managers changed the settings")
+            self.log.event(
+                "settings_dropped", why="the files have changed since managers changed the settings"
+            )
             return config
         self.log.event("settings_restored")
         return mapping.config_of(tree, config)
@@ -96,7 +105,7 @@
 
     def _new_config(self):
         """The whole file is read and checked before any part hears of it; then each takes what is its own."""
-        self.rereads = False         # first: a call from here on asks for another reading
+        self.rereads = False  # first: a call from here on asks for another reading
         try:
             config = self.with_room(self.reread())
             waits = self.managing.reread(config) if self.managing else self.take(config)
@@ -116,6 +125,7 @@
         operator = config.get("operator")
         if self.operator or operator:
             from granitespool.operator import restart_names  # noqa: PLC0415
+
             waits += restart_names(self.operator, operator)
         return waits + self.coordinator.waits(config["settings"])
 
--- a/granitespool/net/streams.py
+++ b/granitespool/net/streams.py
@@ -2,6 +2,7 @@
 
 Each connection is one coroutine, which owns its socket and its reader. A proxy's stream that is replaced by a
 later one of the same proxy ends without a leaving."""
+
 import errno
 import socket
 
@@ -10,19 +11,19 @@
 from granitespool.net.loop import IN, OUT, SECOND
 from granitespool.settings import COUNT_MOST, MS, MS_MOST, BadInput, figure, load_map, need
 
-BACKLOG = 4096            # connections the system holds for us: all proxies at once after a restart
-ACCEPTS = 64              # connections taken in one turn: the others are served between
-DROPPED = 16 * 1024       # bytes read at once of what nobody is to hear any more
-READ_MOST = 256 * 1024    # bytes read from one party in one turn: twice what may stand unread
-UNSENT_MOST = 64 * 1024   # bytes of answers that wait for one party: who asks more and reads none is cut off
+BACKLOG = 4096  # connections the system holds for us: all proxies at once after a restart
+ACCEPTS = 64  # connections taken in one turn: the others are served between
+DROPPED = 16 * 1024  # bytes read at once of what nobody is to hear any more
+READ_MOST = 256 * 1024  # bytes read from one party in one turn: twice what may stand unread
+UNSENT_MOST = 64 * 1024  # bytes of answers that wait for one party: who asks more and reads none is cut off
 JOINING = 3 * SECOND // 2  # ns from accept to joining, whatever is sent meanwhile: a proxy joins at once
-FIRST_MOST = 1024         # bytes of a stranger's message at most: a joining takes a tenth
-YOUNG = SECOND // 20      # ns for which a stranger does not give way: a proxy's joining may be on its way
-UNHEARD = 6 * SECOND      # ns beyond a full channel's that a stream may bring nothing after an order
-SERIAL_MOST = 65535       # the highest mark: the protocol's
+FIRST_MOST = 1024  # bytes of a stranger's message at most: a joining takes a tenth
+YOUNG = SECOND // 20  # ns for which a stranger does not give way: a proxy's joining may be on its way
+UNHEARD = 6 * SECOND  # ns beyond a full channel's that a stream may bring nothing after an order
+SERIAL_MOST = 65535  # the highest mark: the protocol's
 FULL_WAIT = SECOND // 50  # ns between accepts while there is no room
-SPARE = 4                 # places for strangers beyond those who joined; from the descriptors kept for others
-LINGER = SECOND // 4      # ns that last words may take to be read: under half of a planned restart's 0.7 s
+SPARE = 4  # places for strangers beyond those who joined; from the descriptors kept for others
+LINGER = SECOND // 4  # ns that last words may take to be read: under half of a planned restart's 0.7 s
 
 
 def time(message, key):
@@ -37,19 +38,19 @@
 class Connection:
     def __init__(self, sock, peer, pool, now, number):
         self.sock, self.peer, self.reader, self.since = sock, peer, Reader(pool, FIRST_MOST), now
-        self.number = number                                   # how many were accepted before it
+        self.number = number  # how many were accepted before it
         self.role, self.proxy, self.unsent, self.task = "stranger", None, b"", None
         self.joining, self.asked, self.away = {}, None, False  # a proxy's words; asked when; is it silent
-        self.ours = self.left = False                          # it is we who end it; its leaving is told
+        self.ours = self.left = False  # it is we who end it; its leaving is told
 
 
 class Streams:
     def __init__(self, loop, coordinator, log, pool, config, backends):
-        self.backends = backends                 # those the list has named
+        self.backends = backends  # those the list has named
         self.loop, self.coordinator, self.log, self.pool = loop, coordinator, log, pool
         self.new_config(config)
         self.connections, self.strangers = {}, {}  # in order of age; those of them that have not joined
-        self.proxies = {}                        # number -> its current stream
+        self.proxies = {}  # number -> its current stream
         self.accepted, self.last_until = 0, None  # connections so far; when all end, once they are to
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -108,16 +109,23 @@
         """Gives up the oldest stranger, of those that hold a buffer where one is sought; not who asks for it.
         Against floods of strangers: they give way to who may be a proxy, but not before their own joining can
         have come. What else it holds for: all proxies at once. Harm: past so many at once, others wait."""
-        oldest = next((each for each in self.strangers if each is not but and
-                       (each.reader.chain or not holding)), None)
+        oldest = next(
+            (each for each in self.strangers if each is not but and (each.reader.chain or not holding)), None
+        )
         if oldest is None or self.loop.now - oldest.since < YOUNG:
             return False
         return self._give_up(oldest)
 
     def _give_up_collector(self, but=None, holding=False):
         """Gives up the oldest collector, which dials again; never a proxy's stream."""
-        oldest = next((each for each in self.connections if each.role == "collector" and each is not but and
-                       (each.reader.chain or not holding)), None)
+        oldest = next(
+            (
+                each
+                for each in self.connections
+                if each.role == "collector" and each is not but and (each.reader.chain or not holding)
+            ),
+            None,
+        )
         return oldest is not None and self._give_up(oldest)
 
     def _give_up(self, connection):
@@ -128,8 +136,8 @@
     def _serve(self, connection):
         reason = "closed"
         try:
-            while self._read(connection):        # at once: a joining that came with it must not wait
-                if connection.unsent:            # after what it sent: a reset ends the one, and not the other
+            while self._read(connection):  # at once: a joining that came with it must not wait
+                if connection.unsent:  # after what it sent: a reset ends the one, and not the other
                     self._write(connection, b"")
                 events = 0
                 while not events:
@@ -144,7 +152,7 @@
                             raise BadInput("it has not joined in time")
                         self._away(connection)
             self._left(connection)
-            if connection.unsent:                # it has ended its side alone, and may read still
+            if connection.unsent:  # it has ended its side alone, and may read still
                 yield from self._linger(connection)
         except GeneratorExit:
             reason = "given up"
@@ -152,15 +160,15 @@
         except BadInput as error:
             reason = str(error)
             self._left(connection)
-            if connection.role == "stranger":    # a last word, which must not be lost with the close
+            if connection.role == "stranger":  # a last word, which must not be lost with the close
                 self.log.often("refused", peer=connection.peer, why=reason)
                 word, reason = frame({"type": "refused", "why": reason}), "refused"
-                if not connection.unsent:        # else it reads nothing
+                if not connection.unsent:  # else it reads nothing
                     connection.unsent = word
                     try:
                         yield from self._linger(connection)
                     except OSError:
-                        pass                     # it is gone already
+                        pass  # it is gone already
         except OSError as error:
             reason = error.strerror or str(error)
         except Exception:
@@ -219,8 +227,9 @@
         if connection.role == "proxy" and not connection.left:
             reason = "replaced"
         if connection.role != "stranger":
-            self.log.event("ended", peer=connection.peer, role=connection.role, proxy=connection.proxy,
-                           why=reason)
+            self.log.event(
+                "ended", peer=connection.peer, role=connection.role, proxy=connection.proxy, why=reason
+            )
         elif reason not in ("closed", "given up", "refused"):
             self.log.often("refused", peer=connection.peer, why=reason)
 
@@ -241,16 +250,18 @@
     def _back(self, connection):
         connection.away = False
         self.log.event("back", peer=connection.peer, proxy=connection.proxy)
-        self.coordinator.report(self.loop.now, "joined", again=True,
-                                **{**connection.joining, "standing": False})
+        self.coordinator.report(
+            self.loop.now, "joined", again=True, **{**connection.joining, "standing": False}
+        )
 
     def _read(self, connection):
         """Reads and reports what is there; False once the other side has ended."""
         reader, total = connection.reader, 0
         while total < READ_MOST:
             view = reader.room()
-            if view is None and (self._make_room(connection, holding=True)
-                                 or self._give_up_collector(connection, holding=True)):
+            if view is None and (
+                self._make_room(connection, holding=True) or self._give_up_collector(connection, holding=True)
+            ):
                 view = reader.room()
             if view is None:
                 connection.ours = True
@@ -282,8 +293,11 @@
         elif connection.role == "stranger" and kind in ("joined", "collector"):
             getattr(self, "_" + kind)(connection, message)
         elif connection.role == "stranger":
-            raise BadInput(f"a {kind!r:.40} came before its sender said who it is" if kind else
-                           "a message is not an object with a type")
+            raise BadInput(
+                f"a {kind!r:.40} came before its sender said who it is"
+                if kind
+                else "a message is not an object with a type"
+            )
         elif kind in ("applied", "heard", "usage"):
             try:
                 getattr(self, "_" + kind)(connection, message)
@@ -294,8 +308,12 @@
                 # and with a collector all of its zone's reports. Harm: the fault shows in the log alone.
                 self.loop.failed(error)
         else:
-            self.log.often("dropped", peer=connection.peer, proxy=connection.proxy,
-                           why=f"a {kind!r:.40} has no place here" if kind else "it is no object with a type")
+            self.log.often(
+                "dropped",
+                peer=connection.peer,
+                proxy=connection.proxy,
+                why=f"a {kind!r:.40} has no place here" if kind else "it is no object with a type",
+            )
 
     def _one_of(self, message, key, known):
         value = need(message, key, str)
@@ -330,7 +348,7 @@
         self.proxies[number] = connection
         self.log.event("joined", peer=connection.peer, proxy=number, zone=zone, cold=cold)
         self.coordinator.report(self.loop.now, "joined", **connection.joining)
-        if before:               # it has moved on: the old stream carries nothing more
+        if before:  # it has moved on: the old stream carries nothing more
             self.loop.end(before.task)
 
     def _applied(self, connection, message):
@@ -361,16 +379,27 @@
         if failed > tries:
             raise BadInput(f"a 'heard' tells {failed!r:.20} errors of {tries!r:.20} tries")
         self.coordinator.report(
-            self.loop.now, "heard", zone=self._one_of(message, "locality", self.zones),
-            backend=self._one_of(message, "endpoint", self.backends), tries=tries, failed=failed,
+            self.loop.now,
+            "heard",
+            zone=self._one_of(message, "locality", self.zones),
+            backend=self._one_of(message, "endpoint", self.backends),
+            tries=tries,
+            failed=failed,
             mean=time(message, "rtt"),
-            window=time(message, "interval"), load=load_map(load))
+            window=time(message, "interval"),
+            load=load_map(load),
+        )
 
     def _usage(self, connection, message):
         self.coordinator.report(
-            self.loop.now, "arrivals", proxy=self._own(connection, message),
-            grade=self._one_of(message, "route", self.coordinator.classes), number=count(message, "total"),
-            unanswered=count(message, "errors"), window=time(message, "interval"))
+            self.loop.now,
+            "arrivals",
+            proxy=self._own(connection, message),
+            grade=self._one_of(message, "route", self.coordinator.classes),
+            number=count(message, "total"),
+            unanswered=count(message, "errors"),
+            window=time(message, "interval"),
+        )
 
     def _write(self, connection, data):
         unsent = connection.unsent + data
@@ -395,4 +424,4 @@
             connection.unsent = data  # the coroutine meets the same end, or where it is none goes on with it
         if order["mark"] is not None and connection.asked is None:
             connection.asked = self.loop.now
-        self.loop.poke(connection.task)          # it waits anew, for the socket or for the answer
+        self.loop.poke(connection.task)  # it waits anew, for the socket or for the answer
--- a/granitespool/net/tls.py
+++ b/granitespool/net/tls.py
@@ -3,12 +3,13 @@
 The standard library's ssl over memory BIOs. Both sides show a certificate; there is nothing older than 1.3,
 so no renegotiation, and no early data, which the library does not take. Tickets are off: each session is
 checked anew."""
+
 import hashlib
 import ssl
 
 from granitespool.settings import BadInput
 
-TAKEN = 64 * 1024    # plain bytes taken out in one read
+TAKEN = 64 * 1024  # plain bytes taken out in one read
 # Bytes of a record that is written. Against clients that wait on the socket after a read of 4 KiB while the
 # rest of a larger record stands in their TLS library (ncclient does). Harm: 22 bytes more for each 4 KiB.
 RECORD = 4096
@@ -23,8 +24,10 @@
     made.num_tickets = 0
     if protocol:
         made.set_alpn_protocols([protocol])
-    for what, load in ((f"{certificate} and {key}", lambda: made.load_cert_chain(certificate, key)),
-                       (authorities, lambda: made.load_verify_locations(authorities))):
+    for what, load in (
+        (f"{certificate} and {key}", lambda: made.load_cert_chain(certificate, key)),
+        (authorities, lambda: made.load_verify_locations(authorities)),
+    ):
         try:
             load()
         except (OSError, ssl.SSLError) as error:
@@ -66,8 +69,11 @@
             pass
         except ssl.SSLError as error:
             if not (self.up and isinstance(error, (ssl.SSLEOFError, ssl.SSLZeroReturnError))):
-                raise Broken(error.verify_message if isinstance(error, ssl.SSLCertVerificationError)
-                             else error.reason or str(error)) from None
+                raise Broken(
+                    error.verify_message
+                    if isinstance(error, ssl.SSLCertVerificationError)
+                    else error.reason or str(error)
+                ) from None
             self.ended = True
         return b"".join(plain)
 
@@ -75,7 +81,7 @@
         """Plain bytes for the other side; they are among `outgoing` then."""
         view = memoryview(plain)
         while view:
-            view = view[self.tls.write(view[:RECORD]):]
+            view = view[self.tls.write(view[:RECORD]) :]
 
     def outgoing(self):
         """Bytes that are to go to the network."""
@@ -86,7 +92,7 @@
         try:
             self.tls.unwrap()
         except (ssl.SSLError, ValueError):
-            pass                     # the other side has not said its own, or there was no handshake
+            pass  # the other side has not said its own, or there was no handshake
 
     def peer(self):
         """(what getpeercert tells, SHA-256 in hex) of the other side's certificate."""
--- a/granitespool/netconf/framing.py
+++ b/granitespool/netconf/framing.py
@@ -1,7 +1,8 @@
 """The two framings of RFC 6242: an end mark for base:1.0, chunks for base:1.1; no I/O."""
+
 END = b"]]>]]>"
-CHUNK_MOST = 4_294_967_295       # bytes of a chunk by the RFC; a message's bound is the reader's own
-HEAD_MOST = 13                   # bytes of a chunk's head at most: "\n#", ten digits, "\n"
+CHUNK_MOST = 4_294_967_295  # bytes of a chunk by the RFC; a message's bound is the reader's own
+HEAD_MOST = 13  # bytes of a chunk's head at most: "\n#", ten digits, "\n"
 
 
 class Wrong(Exception):
@@ -18,7 +19,7 @@
 
     def __init__(self, most):
         self.most, self.chunked, self.data = most, False, bytearray()
-        self.message, self.left = bytearray(), 0    # of the chunks so far; bytes that the current one lacks
+        self.message, self.left = bytearray(), 0  # of the chunks so far; bytes that the current one lacks
 
     def feed(self, data):
         self.data += data
@@ -35,20 +36,20 @@
         if at < 0:
             return None
         message = bytes(self.data[:at])
-        del self.data[:at + len(END)]
+        del self.data[: at + len(END)]
         return message
 
     def _chunks(self):
         while True:
             if self.left:
-                piece = self.data[:self.left]
+                piece = self.data[: self.left]
                 self.message += piece
-                del self.data[:len(piece)]
+                del self.data[: len(piece)]
                 self.left -= len(piece)
                 if self.left:
                     return None
             head = bytes(self.data[:HEAD_MOST])
-            if not b"\n##\n".startswith(head[:4]) and not head.startswith(b"\n#"[:len(head)]):
+            if not b"\n##\n".startswith(head[:4]) and not head.startswith(b"\n#"[: len(head)]):
                 raise Wrong("a chunk does not begin with its head")
             if head.startswith(b"\n##\n"):
                 del self.data[:4]
@@ -65,4 +66,4 @@
             if len(self.message) + int(digits) > self.most:
                 raise Wrong(f"a message is over {self.most} bytes")
             self.left = int(digits)
-            del self.data[:end + 1]
+            del self.data[: end + 1]
--- a/granitespool/netconf/session.py
+++ b/granitespool/netconf/session.py
@@ -1,4 +1,5 @@
 """One NETCONF session: bytes in, bytes out, the datastores behind it; no socket and no clock of its own."""
+
 from lxml import etree
 
 from granitespool.manage import model
@@ -16,19 +17,36 @@
 DEFAULTS = "urn:ietf:params:xml:ns:yang:ietf-netconf-with-defaults"
 CAPABILITY = "urn:ietf:params:netconf:capability:"
 CAPABILITIES = (
-    BASE_10, BASE_11, CAPABILITY + "candidate:1.0", CAPABILITY + "confirmed-commit:1.1",
-    CAPABILITY + "rollback-on-error:1.0", CAPABILITY + "validate:1.1", CAPABILITY + "startup:1.0",
-    CAPABILITY + "xpath:1.0", CAPABILITY + "notification:1.0", CAPABILITY + "interleave:1.0",
+    BASE_10,
+    BASE_11,
+    CAPABILITY + "candidate:1.0",
+    CAPABILITY + "confirmed-commit:1.1",
+    CAPABILITY + "rollback-on-error:1.0",
+    CAPABILITY + "validate:1.1",
+    CAPABILITY + "startup:1.0",
+    CAPABILITY + "xpath:1.0",
+    CAPABILITY + "notification:1.0",
+    CAPABILITY + "interleave:1.0",
     CAPABILITY + "with-defaults:1.0?basic-mode=explicit&also-supported=report-all",
     MONITORING + "?module=ietf-netconf-monitoring&revision=2010-10-04",
-    f"{model.NAMESPACE}?module={model.MODULE}&revision={model.REVISION}")
-MESSAGE_MOST = 1 << 20       # bytes of a message: a thousand classes take a tenth
-WAITING_MOST = 16            # requests that wait for the one in the making
-CONFIRM = 600                # s that a commit waits to be confirmed where the client says nothing: the RFC's
-NOTE_MOST = 256 * 1024       # bytes that wait for a session past which it gets no notification
+    f"{model.NAMESPACE}?module={model.MODULE}&revision={model.REVISION}",
+)
+MESSAGE_MOST = 1 << 20  # bytes of a message: a thousand classes take a tenth
+WAITING_MOST = 16  # requests that wait for the one in the making
+CONFIRM = 600  # s that a commit waits to be confirmed where the client says nothing: the RFC's
+NOTE_MOST = 256 * 1024  # bytes that wait for a session past which it gets no notification
 STORE_OF = {name: name for name in STORES}
-PROTOCOL = {"bad-attribute", "missing-attribute", "unknown-attribute", "bad-element", "malformed-message",
-            "unknown-namespace", "operation-not-supported", "missing-element", "unknown-element"}
+PROTOCOL = {
+    "bad-attribute",
+    "missing-attribute",
+    "unknown-attribute",
+    "bad-element",
+    "malformed-message",
+    "unknown-namespace",
+    "operation-not-supported",
+    "missing-element",
+    "unknown-element",
+}
 
 
 class Netconf:
@@ -38,8 +56,8 @@
     def __init__(self, managing, user, session, number):
         self.managing, self.user, self.session, self.number = managing, user, session, number
         self.reader, self.greeted = Reader(MESSAGE_MOST), False
-        self.requests, self.running = [], None   # elements that wait; the generator of the one in the making
-        self.waits = False                       # whether a commit's answer is still to come
+        self.requests, self.running = [], None  # elements that wait; the generator of the one in the making
+        self.waits = False  # whether a commit's answer is still to come
         self.subscribed, self.dropped = None, 0
         self.open = True
 
@@ -131,8 +149,9 @@
         reply = etree.Element(f"{{{BASE}}}rpc-reply", attrib=dict(rpc.attrib), nsmap={None: BASE})
         try:
             if rpc.get("message-id") is None:
-                raise Refused("missing-attribute", "an rpc has no message-id", attribute="message-id",
-                              element="rpc")
+                raise Refused(
+                    "missing-attribute", "an rpc has no message-id", attribute="message-id", element="rpc"
+                )
             if len(rpc) != 1:
                 raise Refused("malformed-message", "an rpc holds one operation")
             operation = rpc[0]
@@ -155,8 +174,12 @@
             self.managing.failed(error)
             for each in list(reply):
                 reply.remove(each)
-            reply.append(error_of(Refused("operation-failed", "the coordinator failed at it, see its log"),
-                                  self.managing.number_of))
+            reply.append(
+                error_of(
+                    Refused("operation-failed", "the coordinator failed at it, see its log"),
+                    self.managing.number_of,
+                )
+            )
         if self.session.ending is None:
             self._write(reply)
             if self.open and name_of(rpc[0] if len(rpc) else rpc) == "close-session":
@@ -176,8 +199,9 @@
         if name_of(element) == "url":
             raise Refused("operation-not-supported", "there is no url capability")
         if name_of(element) not in STORE_OF:
-            raise Refused("bad-element", f"there is no datastore {name_of(element)!r:.40}",
-                          element=name_of(element))
+            raise Refused(
+                "bad-element", f"there is no datastore {name_of(element)!r:.40}", element=name_of(element)
+            )
         return name_of(element)
 
     @staticmethod
@@ -192,16 +216,21 @@
         """The element of our settings within a config element, or None where it holds nothing of ours."""
         for top in config:
             if top.tag != f"{{{model.NAMESPACE}}}{model.TOP}":
-                raise Refused("unknown-namespace" if space_of(top) != model.NAMESPACE else "unknown-element",
-                              f"there is no {name_of(top)!r:.40} here", element=name_of(top),
-                              namespace=space_of(top) or "")
+                raise Refused(
+                    "unknown-namespace" if space_of(top) != model.NAMESPACE else "unknown-element",
+                    f"there is no {name_of(top)!r:.40} here",
+                    element=name_of(top),
+                    namespace=space_of(top) or "",
+                )
             for each in top:
                 if name_of(each) == model.STATE:
-                    raise Refused("invalid-value", "state cannot be set",
-                                  ((model.TOP, {}), (model.STATE, {})))
+                    raise Refused(
+                        "invalid-value", "state cannot be set", ((model.TOP, {}), (model.STATE, {}))
+                    )
                 if each.tag != f"{{{model.NAMESPACE}}}{model.SETTINGS}":
-                    raise Refused("unknown-element", f"there is no {name_of(each)!r:.40} here",
-                                  element=name_of(each))
+                    raise Refused(
+                        "unknown-element", f"there is no {name_of(each)!r:.40} here", element=name_of(each)
+                    )
                 operation = each.get(f"{{{BASE}}}operation") or top.get(f"{{{BASE}}}operation")
                 return each, operation
         return None, None
@@ -221,12 +250,17 @@
         if chosen is not None and kind == "subtree":
             whole = self._subtree(top, whole, chosen)
         elif kind not in ("subtree", "xpath"):
-            raise Refused("bad-attribute", f"there is no filter of the type {kind!r:.40}", attribute="type",
-                          element="filter")
+            raise Refused(
+                "bad-attribute",
+                f"there is no filter of the type {kind!r:.40}",
+                attribute="type",
+                element="filter",
+            )
         data = etree.SubElement(reply, f"{{{BASE}}}data")
         if whole:
-            element_ = etree.SubElement(data, f"{{{model.NAMESPACE}}}{top.name}",
-                                        nsmap={None: model.NAMESPACE})
+            element_ = etree.SubElement(
+                data, f"{{{model.NAMESPACE}}}{top.name}", nsmap={None: model.NAMESPACE}
+            )
             for step, _ in enumerate(xmltree.filled(element_, top, whole)):
                 if step % PIECE == 0:
                     yield
@@ -248,15 +282,18 @@
         """Keeps what the expression selects, with what stands above it."""
         select = chosen.get("select")
         if select is None:
-            raise Refused("missing-attribute", "an xpath filter needs select", attribute="select",
-                          element="filter")
+            raise Refused(
+                "missing-attribute", "an xpath filter needs select", attribute="select", element="filter"
+            )
         spaces = {prefix: uri for prefix, uri in chosen.nsmap.items() if prefix}
         try:
             root = etree.Element("root")
             root.extend(list(data))
-            found = etree.ElementTree(root).xpath(select if select.startswith("//") else
-                                                  "/root" + select if select.startswith("/") else select,
-                                                  namespaces=spaces, smart_strings=False)
+            found = etree.ElementTree(root).xpath(
+                select if select.startswith("//") else "/root" + select if select.startswith("/") else select,
+                namespaces=spaces,
+                smart_strings=False,
+            )
         except etree.XPathError as error:
             raise Refused("invalid-value", f"select cannot be used: {error}", element="filter") from None
         if not isinstance(found, list):
@@ -275,8 +312,9 @@
         if mode is None or mode.strip() == "explicit":
             return tree
         if mode.strip() != "report-all":
-            raise Refused("invalid-value", f"with-defaults cannot be {mode.strip()!r:.40}",
-                          element="with-defaults")
+            raise Refused(
+                "invalid-value", f"with-defaults cannot be {mode.strip()!r:.40}", element="with-defaults"
+            )
         return with_defaults(self.managing.model.settings, tree)
 
     # Operations
@@ -298,8 +336,12 @@
         default = self._word(element, "default-operation", ("merge", "replace", "none"), "merge")
         test = self._word(element, "test-option", ("test-then-set", "set", "test-only"), "test-then-set")
         # an edit is one change of one tree, so each of the options ends in all or nothing
-        self._word(element, "error-option", ("stop-on-error", "continue-on-error", "rollback-on-error"),
-                   "stop-on-error")
+        self._word(
+            element,
+            "error-option",
+            ("stop-on-error", "continue-on-error", "rollback-on-error"),
+            "stop-on-error",
+        )
         config = element.find(f"{{{BASE}}}config")
         if config is None:
             raise Refused("missing-element", "edit-config lacks a config", element="config")
@@ -352,8 +394,9 @@
         if source is None or len(source) != 1:
             raise Refused("missing-element", "validate lacks one source", element="source")
         stores = self.managing.datastores
-        stores.validate(self._tree(source[0]) if name_of(source[0]) == "config"
-                        else stores.tree(self._named(source[0])))
+        stores.validate(
+            self._tree(source[0]) if name_of(source[0]) == "config" else stores.tree(self._named(source[0]))
+        )
 
     def commit(self, element, reply):
         stores = self.managing.datastores
@@ -361,17 +404,29 @@
         confirmed = element.find(f"{{{BASE}}}confirmed") is not None
         timeout = element.findtext(f"{{{BASE}}}confirm-timeout")
         if timeout is not None and not timeout.strip().isdigit():
-            raise Refused("invalid-value", f"confirm-timeout cannot be {timeout.strip()!r:.40}",
-                          element="confirm-timeout")
-        yield from self._wait(lambda answer: stores.commit(
-            self, self.user.name, self.session.now(), answer,
-            timeout=(int(timeout) if timeout else CONFIRM) if confirmed else None,
-            persist=element.findtext(f"{{{BASE}}}persist"),
-            persist_id=element.findtext(f"{{{BASE}}}persist-id")))
+            raise Refused(
+                "invalid-value",
+                f"confirm-timeout cannot be {timeout.strip()!r:.40}",
+                element="confirm-timeout",
+            )
+        yield from self._wait(
+            lambda answer: stores.commit(
+                self,
+                self.user.name,
+                self.session.now(),
+                answer,
+                timeout=(int(timeout) if timeout else CONFIRM) if confirmed else None,
+                persist=element.findtext(f"{{{BASE}}}persist"),
+                persist_id=element.findtext(f"{{{BASE}}}persist-id"),
+            )
+        )
 
     def cancel_commit(self, element, reply):
-        yield from self._wait(lambda answer: self.managing.datastores.cancel(
-            self, self.user.name, element.findtext(f"{{{BASE}}}persist-id"), answer))
+        yield from self._wait(
+            lambda answer: self.managing.datastores.cancel(
+                self, self.user.name, element.findtext(f"{{{BASE}}}persist-id"), answer
+            )
+        )
 
     def discard_changes(self, element, reply):
         self.managing.datastores.discard(self)
@@ -386,6 +441,7 @@
             if self.waits:
                 self.waits = False
                 self.session.wake()
+
         call(answer)
         while not answered:
             self.waits = True
@@ -396,7 +452,6 @@
     def close_session(self, element, reply):
         """Answered as any; `_request` ends the session after the answer."""
 
-
     def kill_session(self, element, reply):
         number = (element.findtext(f"{{{BASE}}}session-id") or "").strip()
         other = self.managing.session(number)
@@ -439,19 +494,20 @@
         etree.SubElement(note, f"{{{NOTIFICATION}}}eventTime").text = at
         event = etree.SubElement(note, f"{{{model.NAMESPACE}}}{name}", nsmap={None: model.NAMESPACE})
         for key, value in fields.items():
-            etree.SubElement(event, f"{{{model.NAMESPACE}}}{key}").text = \
+            etree.SubElement(event, f"{{{model.NAMESPACE}}}{key}").text = (
                 ("true" if value else "false") if isinstance(value, bool) else str(value)
+            )
         self._write(note)
         self.session.wake()
 
 
-PIECE = 20           # entries of lists put into a reply in one step: a fifth of a millisecond
+PIECE = 20  # entries of lists put into a reply in one step: a fifth of a millisecond
 
 
 def _cut(element, keep, within):
     for child in list(element):
         if child in within:
-            continue                             # all of it
+            continue  # all of it
         if child in keep:
             _cut(child, keep, within)
         else:
@@ -464,16 +520,21 @@
 
     def add(name, text):
         etree.SubElement(error, f"{{{BASE}}}{name}").text = text
+
     add("error-type", "protocol" if refused.tag in PROTOCOL and not refused.path else "application")
     add("error-tag", refused.tag)
     add("error-severity", "error")
     if refused.path:
-        path = "".join(f"/gs:{name}" + "".join(f"[{'.' if key == '.' else 'gs:' + key}='{value}']"
-                                               for key, value in keys.items()) for name, keys in refused.path)
+        path = "".join(
+            f"/gs:{name}"
+            + "".join(f"[{'.' if key == '.' else 'gs:' + key}='{value}']" for key, value in keys.items())
+            for name, keys in refused.path
+        )
         place = etree.SubElement(error, f"{{{BASE}}}error-path", nsmap={"gs": model.NAMESPACE})
         place.text = path
-    etree.SubElement(error, f"{{{BASE}}}error-message",
-                     attrib={"{http://www.w3.org/XML/1998/namespace}lang": "en"}).text = refused.why
+    etree.SubElement(
+        error, f"{{{BASE}}}error-message", attrib={"{http://www.w3.org/XML/1998/namespace}lang": "en"}
+    ).text = refused.why
     if refused.info:
         info = etree.SubElement(error, f"{{{BASE}}}error-info")
         for key, value in refused.info.items():
@@ -484,9 +545,23 @@
     return error
 
 
-OPERATIONS = {(BASE, name): getattr(Netconf, name.replace("-", "_")) for name in (
-    "get", "get-config", "edit-config", "copy-config", "delete-config", "lock", "unlock", "validate",
-    "commit",
-    "cancel-commit", "discard-changes", "close-session", "kill-session")}
+OPERATIONS = {
+    (BASE, name): getattr(Netconf, name.replace("-", "_"))
+    for name in (
+        "get",
+        "get-config",
+        "edit-config",
+        "copy-config",
+        "delete-config",
+        "lock",
+        "unlock",
+        "validate",
+        "commit",
+        "cancel-commit",
+        "discard-changes",
+        "close-session",
+        "kill-session",
+    )
+}
 OPERATIONS[MONITORING, "get-schema"] = Netconf.get_schema
 OPERATIONS[NOTIFICATION, "create-subscription"] = Netconf.create_subscription
