--- a/granitespool/operator.py
+++ b/granitespool/operator.py
@@ -4,6 +4,7 @@
 `load(path)` gives an Operator, or ends in BadInput with one sentence that names the file, the section, the
 key, what was found and what would do. Each key has its unit in its name. Nothing here knows what a section
 is for."""
+
 from typing import Annotated
 
 import msgspec
@@ -88,8 +89,9 @@
 WRITABLE = "*", "class", "zone", "channel", "permissions", "drain", "cold", "operator"  # of the YANG module
 FIXED = ("state", "folder"), ("netconf", "listen"), ("gnmi", "listen")  # keys that wait for a restart
 USERS = "user."  # how the name of a user's section begins
-PATHS = frozenset([("state", "folder"), ("tls", "certificate"), ("tls", "key"),
-                   ("tls", "authorities")])  # values that are paths: relative ones stand beside the file
+PATHS = frozenset(
+    [("state", "folder"), ("tls", "certificate"), ("tls", "key"), ("tls", "authorities")]
+)  # values that are paths: relative ones stand beside the file
 
 
 def load(path):
@@ -103,12 +105,15 @@
         raise BadInput(f"{path}: a door for managers needs a section [user.NAME], or nobody could come in")
     for name, user in users.items():
         if user.certificate.partition(":")[0] not in CERTIFICATES or not user.certificate.partition(":")[2]:
-            raise BadInput(f"{path}: [{USERS}{name}] certificate is {user.certificate!r:.60}, where "
-                           f"{', '.join(kind + ':...' for kind in CERTIFICATES)} would do")
+            raise BadInput(
+                f"{path}: [{USERS}{name}] certificate is {user.certificate!r:.60}, where "
+                f"{', '.join(kind + ':...' for kind in CERTIFICATES)} would do"
+            )
         for word in filter(None, map(str.strip, user.write.split(","))):
             if word not in WRITABLE:
-                raise BadInput(f"{path}: [{USERS}{name}] write names {word!r:.60}; known are "
-                               f"{', '.join(WRITABLE)}")
+                raise BadInput(
+                    f"{path}: [{USERS}{name}] write names {word!r:.60}; known are {', '.join(WRITABLE)}"
+                )
     return operator
 
 
@@ -126,6 +131,12 @@
 
 def summary(operator):
     """One line for a person: which sections are on, and with what."""
-    on = [f"[{name}] " + ", ".join(f"{key} {value}" for key, value in msgspec.structs.asdict(
-        getattr(operator, name)).items()) for name in SECTIONS if getattr(operator, name) is not None]
+    on = [
+        f"[{name}] "
+        + ", ".join(
+            f"{key} {value}" for key, value in msgspec.structs.asdict(getattr(operator, name)).items()
+        )
+        for name in SECTIONS
+        if getattr(operator, name) is not None
+    ]
     return "; ".join(on) or "no section, everything is off"
--- a/granitespool/routing/subsets.py
+++ b/granitespool/routing/subsets.py
@@ -8,24 +8,25 @@
 came with must be right: that sizes the subsets. One subset is the whole fleet, and then nothing is split. A
 table has copies where more proxies use it than one line could reach.
 """
+
 from collections import Counter
 
 SECOND = 1_000_000_000  # ns
 OUTDATED = 12 * SECOND  # ns that what was heard counts for in the planner's means (its KEEP): a table that
 #                         arrives later is made of what is forgotten
-TAKES = 4        # proxies' shares that one coordinator may have to carry: its own and three others'
-PART = 0.5       # part of what the channel carries within the grace that binding may take: drains need more
-LEAST = 16       # servers of a subset at least: with a third of them cut, those left still share evenly
-RESPLIT = 3      # factor that the fleet's size must have moved by for all to be split anew: a zone lost must
+TAKES = 4  # proxies' shares that one coordinator may have to carry: its own and three others'
+PART = 0.5  # part of what the channel carries within the grace that binding may take: drains need more
+LEAST = 16  # servers of a subset at least: with a third of them cut, those left still share evenly
+RESPLIT = 3  # factor that the fleet's size must have moved by for all to be split anew: a zone lost must
 #                  not do it, nor a release whose old half has gone before the new one answers
-UNEVEN = 2       # times the smallest subset's size, and one more, that the largest may have: else one moves
+UNEVEN = 2  # times the smallest subset's size, and one more, that the largest may have: else one moves
 USERS_PART = 0.5  # part of the queue that one line to all users of a table may take
 
 
 class Subsets:
     def __init__(self, zones):
         self.count, self.split_for = 1, 0
-        self.tables, self.number = {}, 0               # zone -> its tables; how many there are
+        self.tables, self.number = {}, 0  # zone -> its tables; how many there are
         self.proxies, self.loads = Counter(), Counter()  # table -> who is or will be on it; their rates
         for zone in zones:
             self.know(zone)
@@ -62,10 +63,11 @@
         """Each table that holds one of these, or is to: (record, zone, table, whether it is to)."""
         for rec in backends:
             for zone, tables in self.tables.items():
-                mine = [] if rec.subset is None else tables[rec.subset::self.count]
+                mine = [] if rec.subset is None else tables[rec.subset :: self.count]
                 yield from ((rec, zone, table, True) for table in mine)
-                yield from ((rec, zone, table, False) for table in tables
-                            if rec.sent.get(table) and table not in mine)
+                yield from (
+                    (rec, zone, table, False) for table in tables if rec.sent.get(table) and table not in mine
+                )
 
     def wanted(self, settings, channel, fleet):
         """How many subsets the channel asks for."""
@@ -75,7 +77,7 @@
         share = -(-expected // max(1, settings.get("planners") or 1))
         fixed = channel.head + 1 + len(settings.get("classes") or ())
         if (fleet + fixed) * share * SECOND <= min(OUTDATED, grace) * channel.pace:
-            return 1                              # the design's own tables: nothing is departed from
+            return 1  # the design's own tables: nothing is departed from
         takers = min(expected, TAKES * share)
         lines = int(PART * channel.pace * grace / SECOND / takers - fixed)  # figures may be told as 3.0
         return 1 if lines >= fleet else max(1, fleet // max(LEAST, lines))
@@ -97,14 +99,25 @@
                 self._give(rec, rec.subset)
         for rec in ready:
             if rec.subset is None:
-                self._give(rec, min(range(self.count), key=lambda subset: (
-                    self.like[subset, rec.zone, rec.kind], self.sizes[subset], subset)))
+                self._give(
+                    rec,
+                    min(
+                        range(self.count),
+                        key=lambda subset: (
+                            self.like[subset, rec.zone, rec.kind],
+                            self.sizes[subset],
+                            subset,
+                        ),
+                    ),
+                )
         while self.count > 1:
             large, small = (pick(range(self.count), key=self.sizes.__getitem__) for pick in (max, min))
             if self.sizes[large] <= UNEVEN * self.sizes[small] + 1:
                 return
-            rec = max((rec for rec in ready if rec.subset == large),
-                      key=lambda rec: self.like[large, rec.zone, rec.kind])
+            rec = max(
+                (rec for rec in ready if rec.subset == large),
+                key=lambda rec: self.like[large, rec.zone, rec.kind],
+            )
             self._give(rec, large, -1)
             self._give(rec, small)
 
--- a/granitespool/rpc/calls.py
+++ b/granitespool/rpc/calls.py
@@ -3,15 +3,22 @@
 A method is a function of a Call that gives a generator: it yields now and then, and is resumed while the
 call is open, there is room for more, and it says by `call.idle` that it does not only wait. A status other
 than OK is raised as Status. Method names are "package.Service/Method"."""
+
 import re
 from urllib.parse import quote
 
 from h2.errors import ErrorCodes
 
-MESSAGE_MOST = 1 << 20       # bytes of a message that a client may send
-INBOX_MOST = 64              # messages of a call that wait for its method
-UNITS = {"H": 3600 * 10**9, "M": 60 * 10**9, "S": 10**9, "m": 10**6, "u": 10**3,
-         "n": 1}  # of grpc-timeout, ns
+MESSAGE_MOST = 1 << 20  # bytes of a message that a client may send
+INBOX_MOST = 64  # messages of a call that wait for its method
+UNITS = {
+    "H": 3600 * 10**9,
+    "M": 60 * 10**9,
+    "S": 10**9,
+    "m": 10**6,
+    "u": 10**3,
+    "n": 1,
+}  # of grpc-timeout, ns
 TIMEOUT = re.compile(r"([0-9]{1,8})([HMSmun])")
 
 OK, CANCELLED, INVALID_ARGUMENT, DEADLINE_EXCEEDED, NOT_FOUND = 0, 1, 3, 4, 5
@@ -52,8 +59,9 @@
         if self.begun:
             self.calls.http2.finish(self.stream, status)
         else:
-            self.calls.http2.headers(self.stream, [(":status", "200"), ("content-type", "application/grpc"),
-                                                   *status], end=True)
+            self.calls.http2.headers(
+                self.stream, [(":status", "200"), ("content-type", "application/grpc"), *status], end=True
+            )
         self.calls.forget(self)
 
     def wake(self):
@@ -74,8 +82,8 @@
                 return
             if len(self.inbox) >= INBOX_MOST:
                 raise Status(RESOURCE_EXHAUSTED, f"over {INBOX_MOST} messages wait")
-            self.inbox.append(bytes(self.buffer[5:5 + size]))
-            del self.buffer[:5 + size]
+            self.inbox.append(bytes(self.buffer[5 : 5 + size]))
+            del self.buffer[: 5 + size]
 
 
 class Calls:
@@ -149,7 +157,7 @@
         call = next((each for each in self.open.values() if self._can(each)), None)
         if call is None:
             return
-        self.open[call.stream] = self.open.pop(call.stream)   # to the end of the turn order
+        self.open[call.stream] = self.open.pop(call.stream)  # to the end of the turn order
         try:
             next(call.run)
         except StopIteration:
--- a/granitespool/rpc/http2.py
+++ b/granitespool/rpc/http2.py
@@ -7,6 +7,7 @@
 Against a reader that stops: bytes for a stream wait in its own queue, bounded by who makes them (`room`).
 Against rapid resets, floods of settings, pings and empty frames: so many in a second, then the connection
 ends."""
+
 from h2.config import H2Configuration
 from h2.connection import H2Connection
 from h2.errors import ErrorCodes
@@ -24,15 +25,15 @@
 from h2.exceptions import H2Error
 from h2.settings import SettingCodes
 
-STREAMS_MOST = 64            # streams of a connection at once
-HEADERS_MOST = 8 * 1024      # bytes of a request's headers: a call takes a twentieth
-WINDOW = 256 * 1024          # bytes that a stream, and a connection, may send before we have taken them
-STEP_BYTES = 64 * 1024       # bytes put into frames in one step, of all streams: under a millisecond with TLS
-QUEUED_HIGH = 64 * 1024      # bytes that wait for a stream above which nobody should add to them
-FRAME_MOST = 16_384          # bytes of a frame's body that a client may send: the protocol's usual
+STREAMS_MOST = 64  # streams of a connection at once
+HEADERS_MOST = 8 * 1024  # bytes of a request's headers: a call takes a twentieth
+WINDOW = 256 * 1024  # bytes that a stream, and a connection, may send before we have taken them
+STEP_BYTES = 64 * 1024  # bytes put into frames in one step, of all streams: under a millisecond with TLS
+QUEUED_HIGH = 64 * 1024  # bytes that wait for a stream above which nobody should add to them
+FRAME_MOST = 16_384  # bytes of a frame's body that a client may send: the protocol's usual
 FRAME_HEAD, PREFACE = 9, 24  # bytes of a frame's head, and of a client's first words
-FLOOD_MOST = 200             # resets, settings, pings, priorities, empty frames of a peer in one second
-SECOND = 1_000_000_000       # ns
+FLOOD_MOST = 200  # resets, settings, pings, priorities, empty frames of a peer in one second
+SECOND = 1_000_000_000  # ns
 
 
 class Broken(Exception):
@@ -43,15 +44,19 @@
     def __init__(self, streams, streams_most=STREAMS_MOST):
         self.streams = streams
         self.h2 = H2Connection(H2Configuration(client_side=False, header_encoding="utf-8"))
-        self.h2.local_settings.update({
-            SettingCodes.MAX_CONCURRENT_STREAMS: streams_most,
-            SettingCodes.MAX_HEADER_LIST_SIZE: HEADERS_MOST,
-            SettingCodes.INITIAL_WINDOW_SIZE: WINDOW, SettingCodes.ENABLE_PUSH: 0})
-        self.h2.decoder.max_header_list_size = HEADERS_MOST   # also before the client has heard of it
-        self.queued, self.trailers = {}, {}      # stream -> bytes that wait; headers that follow them
+        self.h2.local_settings.update(
+            {
+                SettingCodes.MAX_CONCURRENT_STREAMS: streams_most,
+                SettingCodes.MAX_HEADER_LIST_SIZE: HEADERS_MOST,
+                SettingCodes.INITIAL_WINDOW_SIZE: WINDOW,
+                SettingCodes.ENABLE_PUSH: 0,
+            }
+        )
+        self.h2.decoder.max_header_list_size = HEADERS_MOST  # also before the client has heard of it
+        self.queued, self.trailers = {}, {}  # stream -> bytes that wait; headers that follow them
         self.second, self.flood, self.leaving = 0, 0, False
-        self.ready = False                       # whether `step` may have something to do
-        self.head, self.skip = b"", PREFACE      # of the next frame; bytes before it
+        self.ready = False  # whether `step` may have something to do
+        self.head, self.skip = b"", PREFACE  # of the next frame; bytes before it
 
     def begin(self):
         self.h2.initiate_connection()
@@ -59,7 +64,7 @@
 
     def _check_lengths(self, data):
         """Against frames over our largest, which the library would buffer whole before it refuses them."""
-        self.head += data[self.skip:]
+        self.head += data[self.skip :]
         self.skip -= min(self.skip, len(data))
         while len(self.head) >= FRAME_HEAD and not self.skip:
             length = int.from_bytes(self.head[:3], "big")
@@ -67,7 +72,7 @@
                 self.h2.close_connection(ErrorCodes.FRAME_SIZE_ERROR)
                 raise Broken(f"a frame of {length} bytes is over {FRAME_MOST}")
             rest = len(self.head) - FRAME_HEAD - length
-            self.skip, self.head = max(0, -rest), self.head[FRAME_HEAD + length:]
+            self.skip, self.head = max(0, -rest), self.head[FRAME_HEAD + length :]
 
     def received(self, data, now):
         """Bytes of the peer; ends in Broken where they are no HTTP/2, or too much of what costs only us."""
@@ -77,8 +82,12 @@
         except H2Error as error:
             raise Broken(f"it is no HTTP/2 that we take: {str(error) or type(error).__name__:.100}") from None
         for event in events:
-            if isinstance(event, (StreamReset, RemoteSettingsChanged, PingReceived, PriorityUpdated)) \
-                    or isinstance(event, DataReceived) and not event.data and event.stream_ended is None:
+            if (
+                isinstance(event, (StreamReset, RemoteSettingsChanged, PingReceived, PriorityUpdated))
+                or isinstance(event, DataReceived)
+                and not event.data
+                and event.stream_ended is None
+            ):
                 self._count(now)
             self._event(event)
 
@@ -163,7 +172,7 @@
                 size = min(len(data), window, self.h2.max_outbound_frame_size)
                 if size <= 0:
                     break
-                if left <= 0:                    # the others first, then on with this one
+                if left <= 0:  # the others first, then on with this one
                     self.queued[stream] = self.queued.pop(stream)
                     self.ready = True
                     return
--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -2,6 +2,7 @@
 
 Made when an instance starts; then one method is called for each thing that happens, with the batch clock in
 whole nanoseconds, and it acts by calling the host at once (granitespool/host.py; docs/design.md)."""
+
 import math
 from collections import Counter, defaultdict, deque
 from random import Random
@@ -10,64 +11,64 @@
 from granitespool.routing.subsets import Subsets
 
 SECOND = 1_000_000_000  # ns
-ALPHA = 0.5             # per percent: steepness of f(u), the paper's
-BETA = 80.0             # percent: where f(u) is half way up and a server counts as running over, the paper's
-PERIOD = 1 * SECOND     # ns between recomputes: the period of the reports, so each weight move is small
+ALPHA = 0.5  # per percent: steepness of f(u), the paper's
+BETA = 80.0  # percent: where f(u) is half way up and a server counts as running over, the paper's
+PERIOD = 1 * SECOND  # ns between recomputes: the period of the reports, so each weight move is small
 RAMP_STEP = 5 * SECOND  # ns for each doubling of a new server's part: the design page's round
-RAMP_DONE = 40          # doublings after which a ramp is over whatever it began at; past 1,023 a float ends
-RAMP_START = 0.25       # part of its weight that a new or returned server starts at: the design page's
+RAMP_DONE = 40  # doublings after which a ramp is over whatever it began at; past 1,023 a float ends
+RAMP_START = 0.25  # part of its weight that a new or returned server starts at: the design page's
 LOWEST_SPAN = 60 * SECOND  # ns that the lowest mean is looked for in: the design page's minute
 GONE_KEPT = 20 * SECOND  # ns that who is gone is known: joiners with old tables are bound in a few seconds
-KEEP = 0.92             # part of what was heard that a recompute carries on: a mean over some twelve seconds
-PRIOR = 8.0             # answers that the average cost of a server's kind stands for
-HEARD_LEAST = 3.0       # answers below which a server's mean is chance, so it counts as unheard
-RESEND = 0.1            # part a weight must move by to be sent: the design page's tenth
-CUT_REPORTS = 2         # reports running over before a cut: the design page's
-CUT_TRIES = 5           # tries running that a cut for failures rests on: one or two failing are chance
-REFUSAL = SECOND // 4   # ns: a refusal is quick; one that took longer is of a server whose own check hung
-LATE_PROBE = 2          # failing tries that a probe without an answer in time stands for
-CUT_SHARE = 3           # at most one in this many listed ready servers is cut from a table: the design page's
-LAST_RESORT = 0.02      # part of its weight that a server past the cap on cuts keeps: some tries to hear it
-UNHEARD_PERIODS = 2     # periods that a cut server stays unheard before it comes back: the design page's
-MESSAGE_ROOM = 1.25     # times the shortest gap that keeps the messages to a proxy under their cap
-RECENT = 0.1            # part of the fleet sums that each look carries on: late as they are, no lag is added
-STRAINED_TIME = 0.65    # part of the shortest promised time: a mean above it means many answers come too late
-LOOK_LEAST = 20         # tries under which a look at the fleet is chance: the first reports after a start
-CALM_TIME = 0.5         # part of the shortest promised time: a mean under it ends a strain
-SHED_STEP = 0.95        # factor a look while the strain lasts, of what is let in and of what is answered
-SHED_BACK = 1.08        # factor a look without strain: the less is refused, the less is asked again
-SHED_LEAST = 0.2        # share of the work that is always let in: what is heard must not run dry
-SHED_FLOOR = 0.1        # share of each class let in however low its benefit: the worst class counts too
-SHED_MOVE = 0.03        # step of a level that is worth a message
-GUARD = 0.5             # part of the told multiple of its work that a cold server is let have in a storm
-START_THROUGH = 0.3     # share of tries taken as answered by who starts among cold servers: a storm may be on
-LEAST_WEIGHT = 0.0001   # what rounding leaves of a weight above 0: a line must not vanish by it
-NO_LIMIT = 1e6          # transactions a second at a proxy that stand for letting in all
-ORDINARY = 0.15         # part of the channel's pace that ordinary changes may use: orders have a price
-HEADS = 0.15            # part of the channel's pace for heads of messages: sets the gap between flushes
-RULE_PART = 0.94        # part of the queue's limit that rule lines may fill: what joiners hold is a guess
-JOIN_PART = 0.2         # part that moves may fill while anyone is to be bound: binds go first
-AHEAD = 2 * SECOND      # ns at the met pace that moves may wait in the channel: a drain would be behind them
-FEW = 8                 # a table that at most one in so many proxies uses: a message to all of them is cheap
-BIND_PART = 0.35        # part of the queue that binds may fill: drains need the rest
-IN_TIME = 0.5           # part of the drain's grace: who is bound within it needs nothing shut out
-TOGETHER = 1 / 6        # part of the grace that joiners wait for others, to be told at once what is shut out
-KEPT = 2                # graces after which a drain needs no telling: who had the joiners before has kept it
-DOUBT = 3 * SECOND      # ns that a remembered strain holds unless it is met: reports of the first two seconds
+KEEP = 0.92  # part of what was heard that a recompute carries on: a mean over some twelve seconds
+PRIOR = 8.0  # answers that the average cost of a server's kind stands for
+HEARD_LEAST = 3.0  # answers below which a server's mean is chance, so it counts as unheard
+RESEND = 0.1  # part a weight must move by to be sent: the design page's tenth
+CUT_REPORTS = 2  # reports running over before a cut: the design page's
+CUT_TRIES = 5  # tries running that a cut for failures rests on: one or two failing are chance
+REFUSAL = SECOND // 4  # ns: a refusal is quick; one that took longer is of a server whose own check hung
+LATE_PROBE = 2  # failing tries that a probe without an answer in time stands for
+CUT_SHARE = 3  # at most one in this many listed ready servers is cut from a table: the design page's
+LAST_RESORT = 0.02  # part of its weight that a server past the cap on cuts keeps: some tries to hear it
+UNHEARD_PERIODS = 2  # periods that a cut server stays unheard before it comes back: the design page's
+MESSAGE_ROOM = 1.25  # times the shortest gap that keeps the messages to a proxy under their cap
+RECENT = 0.1  # part of the fleet sums that each look carries on: late as they are, no lag is added
+STRAINED_TIME = 0.65  # part of the shortest promised time: a mean above it means many answers come too late
+LOOK_LEAST = 20  # tries under which a look at the fleet is chance: the first reports after a start
+CALM_TIME = 0.5  # part of the shortest promised time: a mean under it ends a strain
+SHED_STEP = 0.95  # factor a look while the strain lasts, of what is let in and of what is answered
+SHED_BACK = 1.08  # factor a look without strain: the less is refused, the less is asked again
+SHED_LEAST = 0.2  # share of the work that is always let in: what is heard must not run dry
+SHED_FLOOR = 0.1  # share of each class let in however low its benefit: the worst class counts too
+SHED_MOVE = 0.03  # step of a level that is worth a message
+GUARD = 0.5  # part of the told multiple of its work that a cold server is let have in a storm
+START_THROUGH = 0.3  # share of tries taken as answered by who starts among cold servers: a storm may be on
+LEAST_WEIGHT = 0.0001  # what rounding leaves of a weight above 0: a line must not vanish by it
+NO_LIMIT = 1e6  # transactions a second at a proxy that stand for letting in all
+ORDINARY = 0.15  # part of the channel's pace that ordinary changes may use: orders have a price
+HEADS = 0.15  # part of the channel's pace for heads of messages: sets the gap between flushes
+RULE_PART = 0.94  # part of the queue's limit that rule lines may fill: what joiners hold is a guess
+JOIN_PART = 0.2  # part that moves may fill while anyone is to be bound: binds go first
+AHEAD = 2 * SECOND  # ns at the met pace that moves may wait in the channel: a drain would be behind them
+FEW = 8  # a table that at most one in so many proxies uses: a message to all of them is cheap
+BIND_PART = 0.35  # part of the queue that binds may fill: drains need the rest
+IN_TIME = 0.5  # part of the drain's grace: who is bound within it needs nothing shut out
+TOGETHER = 1 / 6  # part of the grace that joiners wait for others, to be told at once what is shut out
+KEPT = 2  # graces after which a drain needs no telling: who had the joiners before has kept it
+DOUBT = 3 * SECOND  # ns that a remembered strain holds unless it is met: reports of the first two seconds
 REMEMBERED = "phase", "zone", "kind", "listed", "started", "gone_at", "ramp_from", "proven", "missing"
 MET = "tries", "failed", "answered", "time", "over", "streak", "cut_at", "ramp_from"  # of a link
-DISAGREE = 2.5          # factor between means that is no chance: an eighth of three answers' means pass it
+DISAGREE = 2.5  # factor between means that is no chance: an eighth of three answers' means pass it
 DISAGREE_FAILED = 0.35  # the same of shares that failed
-SAVED = 5               # s of the channel's pace that ordinary changes may save up: the design page's period
+SAVED = 5  # s of the channel's pace that ordinary changes may save up: the design page's period
 
 
 class Link:  # what the proxies of one zone met at a backend, and what that makes of it
     def __init__(self):
         self.tries = self.failed = self.answered = self.time = self.heard = 0.0
-        self.lows, self.spare = deque(), False    # means of the last minute; cut only down to a last resort
-        self.over = self.streak = 0               # reports running over; tries running that failed
+        self.lows, self.spare = deque(), False  # means of the last minute; cut only down to a last resort
+        self.over = self.streak = 0  # reports running over; tries running that failed
         self.cut_at = self.ramp_from = self.cost = None
-        self.recalled = False                     # its sums are what a former life had met
+        self.recalled = False  # its sums are what a former life had met
 
     def fade(self, part):
         self.tries, self.failed = self.tries * part, self.failed * part
@@ -88,9 +89,9 @@
         self.host, self.jitter, self.channel = host, Random(seed).uniform, Channel()
         self.new_settings(now, settings)
         self.backends, self.proxies, self.average = {}, {}, {}  # id -> Backend, (table, rate); zone -> ns
-        self.unbound, self.flushed_at = {}, -1    # proxy yet to be bound -> (others' lines it holds, since)
+        self.unbound, self.flushed_at = {}, -1  # proxy yet to be bound -> (others' lines it holds, since)
         self.subsets = Subsets(settings.get("zones") or [])
-        self.tables = self.subsets.tables         # zone -> its tables, one for each subset of the fleet
+        self.tables = self.subsets.tables  # zone -> its tables, one for each subset of the fleet
         self.lines, self.users = Counter(), defaultdict(dict)  # table -> its lines; proxies bound to it
         self.levels, self.slices = defaultdict(dict), {}  # table -> {class: as sent}; slice held -> lines
         self.next_flush = self.next_alarm = self.flush_due = self.lag = self.shut_at = self.doubt = 0
@@ -102,7 +103,7 @@
         host.wake(PERIOD, "round")
 
     def new_settings(self, now, settings):
-        self.settings = settings                  # read where needed, so they act from the next decision on
+        self.settings = settings  # read where needed, so they act from the next decision on
         self.channel.new_settings(settings)
         self.classes = [{"promised_time": SECOND, "benefit": 1, **c} for c in settings.get("classes") or []]
 
@@ -220,7 +221,7 @@
             promised = min((kind["promised_time"] for kind in self.classes), default=SECOND)
             self.strained = mean > (CALM_TIME if self.strained else STRAINED_TIME) * promised
             self.through = 1 - sum(rec.missed for rec in heard) / tries
-            if not self.strained:                 # more is let in as the strain eases
+            if not self.strained:  # more is let in as the strain eases
                 self.room = min(1.0, self.room * SHED_BACK)
             elif asked > 0:
                 self.room = max(SHED_LEAST, SHED_STEP * min(self.room, sum(r.done for r in heard) / asked))
@@ -237,8 +238,10 @@
         work = [self.asked.get(kind.get("name"), 0) * kind["promised_time"] for kind in self.classes]
         shares, room = [1.0] * len(work), (self.room - SHED_FLOOR) * sum(work)
         if self.room < 1 and sum(work) and self.settings.get("admission") == "fraction":
-            for k, kind in sorted(enumerate(self.classes), key=lambda each: (
-                    -each[1]["benefit"] / (each[1]["promised_time"] or 1), each[0])):
+            for k, kind in sorted(
+                enumerate(self.classes),
+                key=lambda each: (-each[1]["benefit"] / (each[1]["promised_time"] or 1), each[0]),
+            ):
                 given = max(0.0, min(room, (1 - SHED_FLOOR) * work[k]))
                 room -= given
                 share = SHED_FLOOR + given / work[k] if work[k] else 1.0
@@ -281,8 +284,11 @@
 
     def _cut(self, now, zone, rec):
         # Past the cap a server stays as a last resort: a few tries tell when it heals, or all weigh alike
-        ready = [each.links[zone] for each in self.backends.values()
-                 if each.phase == "ready" and each.subset == rec.subset]
+        ready = [
+            each.links[zone]
+            for each in self.backends.values()
+            if each.phase == "ready" and each.subset == rec.subset
+        ]
         out = sum(1 for each in ready if each.cut_at is not None and not each.spare)
         link = rec.links[zone]
         link.spare, link.cut_at = (out + 1) * CUT_SHARE > len(ready), now
@@ -328,7 +334,7 @@
         self.proxies[proxy] = table, _ = self.subsets.join(zone, rate, self.channel), rate
         if self.settings.get("slices"):
             for rec in self.backends.values():
-                rec.sent.pop("out", None)         # what was shut out before did not reach this one
+                rec.sent.pop("out", None)  # what was shut out before did not reach this one
             return self._flush(now)
         held = min(len(self.backends), self.settings.get("standing_lines", 0) if standing else 1e9)
         self.unbound[proxy] = held, now
@@ -354,7 +360,7 @@
         self.slices.pop(table, None)
         if ours:
             self.slices[table] = {}
-            self.host.wake(0, "flush")            # its lines come with the same batch
+            self.host.wake(0, "flush")  # its lines come with the same batch
 
     def slice_line(self, now, table, backend, weight):
         if table in self.slices:
@@ -402,7 +408,7 @@
         if out or rec.phase != "ready" or not (rec.proven or self.bare):
             return 0.0
         for since in (rec.ramp_from, link.ramp_from):
-            if since is not None:                 # who is new does its whole part once it is warm
+            if since is not None:  # who is new does its whole part once it is warm
                 pace = max(1, min(RAMP_STEP, self.settings.get("cold_time", 2 * RAMP_STEP) // 2))
                 least = max(RAMP_START, self.settings.get("cold_share", 0))
                 part = min(part, least * 2.0 ** min(RAMP_DONE, (now - since) // pace))
@@ -418,13 +424,13 @@
 
     def _flush(self, now, only=None):
         """Sends what differs, of one backend or all; only a rule's lines use the channel's second half."""
-        merging = now == self.flushed_at          # one reply, one message: more of it costs no head
+        merging = now == self.flushed_at  # one reply, one message: more of it costs no head
         if only and self.short or now < self.next_flush and not merging:  # the oldest drains go first
             return self._flush_at(self.next_flush, now)
         if self.settings.get("slices"):
             return self._keep_slices(now)
         before, touched, held, left = self.channel.serial, set(), now < self.next_alarm and not merging, 1
-        self.short = self.later = False           # later: something is held back for the next alarm
+        self.short = self.later = False  # later: something is held back for the next alarm
         if not only:
             self._shut_out(now)
         moves, brings = list(self._moves(now, only)), Counter()
@@ -441,7 +447,7 @@
             back = self.host.returns(users, table, rec.id) if want and not rec.sent.get(table) else {}
             cost = len(back) + len(users) * (1 if table in touched else 1 + self.channel.head)
             if urgency and held and (ordinary or table not in touched and len(users) > few):
-                self.later = True                 # an alarm to few keeps no gap where nothing waits
+                self.later = True  # an alarm to few keeps no gap where nothing waits
                 continue
             room = self.channel.room(part, AHEAD) if urgency else self.channel.room(RULE_PART * (not crowded))
             if cost > max(0, room) or ordinary and cost > self.credit:
@@ -485,7 +491,7 @@
 
     def _flush_at(self, when, now):
         when = max(when, now + PERIOD // 4)
-        if not now < self.flush_due <= when:      # a drain does not wait for a later flush
+        if not now < self.flush_due <= when:  # a drain does not wait for a later flush
             self.flush_due = when
             self.host.wake(when - now, "flush")
 
@@ -495,20 +501,24 @@
         grace, turned = self.settings.get("drain_grace", SECOND), []
         waits = max((now - since for _, since in self.unbound.values() if since >= self.shut_at), default=0)
         self.shut_at = now if waits >= TOGETHER * grace else self.shut_at
-        work = sum(self.lines[self.proxies[proxy][0]] + len(self.classes) + self.channel.head
-                   for proxy in self.unbound)
+        work = sum(
+            self.lines[self.proxies[proxy][0]] + len(self.classes) + self.channel.head
+            for proxy in self.unbound
+        )
         late = self.channel.takes(work) > IN_TIME * self.settings.get("drain_grace", 0)
         order = sorted(self.backends.values(), key=lambda rec: (max(rec.gone_at, self.shut_at), -rec.gone_at))
         for rec in order:
             out, recent = rec.sent.get("out", False), now - rec.gone_at < KEPT * grace
             if out and recent and waits >= TOGETHER * grace:
-                out = rec.sent["out"] = None      # not told to all
+                out = rec.sent["out"] = None  # not told to all
             want = recent and (late or "out" in rec.sent) or out
             want = bool(want and self.unbound and rec.phase != "ready")
             if out != want and not any(weight for table, weight in rec.sent.items() if table != "out"):
                 turned.append((rec, want))
+
         def reach(each):
             return self.host.reach(each[0].id, each[1], self.unbound, len(self.backends))
+
         outs = [each for each in turned if each[1]]
         each = sum(reach(outs[0]).values()) if outs else 0
         if each * len(outs) + self.channel.head * min(each, len(self.unbound)) > work:
@@ -535,15 +545,16 @@
     def _bind_next(self, now):
         """Joiners are bound in turn, as there is room: who waits long first, then who has most traffic."""
         if self.short or not self.unbound or self.channel.room(BIND_PART) < 0:
-            return                                # asked at each answer: no walk of all that could bind none
+            return  # asked at each answer: no walk of all that could bind none
         soon = now - self.settings.get("drain_grace", SECOND) / 3  # an old table may hold what is not listed
         order = {p: (min(since, soon), -self.proxies[p][1]) for p, (_, since) in self.unbound.items()}
         all(self._bind(now, proxy) for proxy in sorted(order, key=order.get))
 
     def _bind(self, now, proxy):
         table, room = self.proxies[proxy][0], self.channel.room(BIND_PART)
-        cost = 1 + self.lines[table] + len(self.levels[table]) + sum(
-            self.host.returns((proxy,), table).values())
+        cost = (
+            1 + self.lines[table] + len(self.levels[table]) + sum(self.host.returns((proxy,), table).values())
+        )
         if self.short or cost + self.channel.head > room:
             return False
         if self.lines[table] and self.unbound.pop(proxy, None):  # an empty table is worse than what it holds
--- a/granitespool/state/disk.py
+++ b/granitespool/state/disk.py
@@ -2,6 +2,7 @@
 
 `Folder` has just the calls that a store needs, so that tests can put another one in its place that fails or
 forgets what was not synced. Every call may end in OSError."""
+
 import errno
 import fcntl
 import os
@@ -17,7 +18,7 @@
     """A folder of plain files; names are without a path. `append` keeps its descriptor until `close`."""
 
     def __init__(self, path):
-        self.path, self.lock_fd, self.open = path, None, {}   # name -> descriptor that is appended to
+        self.path, self.lock_fd, self.open = path, None, {}  # name -> descriptor that is appended to
 
     def _at(self, name):
         return os.path.join(self.path, name)
@@ -44,8 +45,9 @@
     def keep_lock(self):
         """Owns the folder still, also where it was taken away and another came in its place; or Owned."""
         try:
-            same = self.lock_fd is not None and os.path.samestat(os.fstat(self.lock_fd),
-                                                                 os.stat(self._at(LOCK)))
+            same = self.lock_fd is not None and os.path.samestat(
+                os.fstat(self.lock_fd), os.stat(self._at(LOCK))
+            )
         except FileNotFoundError:
             same = False
         if not same:
@@ -74,7 +76,7 @@
             raise FileNotFoundError(errno.ENOENT, os.strerror(errno.ENOENT))
         view = memoryview(data)
         while view:
-            view = view[os.write(fd, view):]
+            view = view[os.write(fd, view) :]
 
     def sync(self, name):
         """What was appended to a file, also under its former name, is safe afterwards."""
@@ -110,4 +112,4 @@
             self.shut(name)
         if self.lock_fd is not None:
             fd, self.lock_fd = self.lock_fd, None
-            os.close(fd)                 # the lock goes with it
+            os.close(fd)  # the lock goes with it
--- a/granitespool/state/keeper.py
+++ b/granitespool/state/keeper.py
@@ -2,6 +2,7 @@
 
 It sweeps all backends each half of `every_ms`, a few at a time, so that no turn is felt and what was learnt
 is on the disk within `every_ms` where the disk takes no longer than the other half."""
+
 from granitespool import __version__
 from granitespool.settings import BadInput
 from granitespool.state import record, trust
@@ -10,10 +11,10 @@
 from granitespool.state.writer import Writer
 
 SECOND = 1_000_000_000  # ns
-MS = 1_000_000          # ns
-OPEN_MOST = 0.4         # s that a start waits for the folder: who is up without a memory still serves
-LAST_MOST = 0.25        # s for the last snapshot after SIGTERM: 0.7 s pass at least until SIGKILL
-LINKS_A_STEP = 200      # links taken out in one step: a millisecond
+MS = 1_000_000  # ns
+OPEN_MOST = 0.4  # s that a start waits for the folder: who is up without a memory still serves
+LAST_MOST = 0.25  # s for the last snapshot after SIGTERM: 0.7 s pass at least until SIGKILL
+LINKS_A_STEP = 200  # links taken out in one step: a millisecond
 NAMED_WAIT = SECOND // 20  # ns between looks whether any list has come
 
 
@@ -23,12 +24,16 @@
 
     def __init__(self, loop, log, options, name, settings, mono, folder=None):
         self.loop, self.log, self.options, self.mono = loop, log, options, mono
-        self.identity = trust.Identity(name, [kind.get("name") for kind in settings.get("classes") or ()],
-                                       list(settings.get("zones") or ()))
+        self.identity = trust.Identity(
+            name,
+            [kind.get("name") for kind in settings.get("classes") or ()],
+            list(settings.get("zones") or ()),
+        )
         self.memory = Memory(options, self.identity)
         self.coordinator = self.discovery = self.task = self._managed = None
-        self.writer = Writer(folder or Folder(options.folder), options.most_mb, self._header, loop.wake,
-                             self._clocks)
+        self.writer = Writer(
+            folder or Folder(options.folder), options.most_mb, self._header, loop.wake, self._clocks
+        )
         opened = self.writer.wait_opened(OPEN_MOST)
         if opened and opened.owned:
             raise BadInput(opened.owned)
@@ -52,8 +57,13 @@
 
     def keep_settings(self, tree, base, version):
         """Has settings outlast the process (None: those of the files hold); returns a ticket for `safe`."""
-        return self.writer.submit({record.MANAGED: None if tree is None else record.value_bytes(
-            record.Managed(self.loop.now, version, base, tree))})
+        return self.writer.submit(
+            {
+                record.MANAGED: None
+                if tree is None
+                else record.value_bytes(record.Managed(self.loop.now, version, base, tree))
+            }
+        )
 
     def figures(self):
         """(bytes written, batches, whether the disk fails) since the start."""
@@ -82,14 +92,14 @@
         self.writer.limit(options.most_mb)
 
     def _run(self):
-        while not self.discovery.named:          # the first list that names anyone is the one to start from
+        while not self.discovery.named:  # the first list that names anyone is the one to start from
             yield None, 0, self.loop.now + NAMED_WAIT
             self.tell()
         self._recall()
         while True:
             names = list(self.coordinator.listed())
             step = max(1, LINKS_A_STEP // max(1, len(self.identity.zones)))
-            steps = [names[at:at + step] for at in range(0, len(names), step)] or [[]]
+            steps = [names[at : at + step] for at in range(0, len(names), step)] or [[]]
             pause = self.options.every_ms * MS // 2 // len(steps)
             for number, part in enumerate(steps, 1):
                 self._hand_on(part, number == len(steps))
@@ -99,16 +109,24 @@
     def _recall(self):
         belief, why = self.memory.recall(self.coordinator, self.loop.now, self._clocks()), self.memory.why
         if belief:
-            self.log.event("recalled", age_ms=(self.loop.now - self.memory.then.wall) // MS,
-                           backends=len(belief.backends), links=belief.links, cuts=belief.cuts,
-                           strained=belief.fleet["strained"], room=round(belief.fleet["room"], 3),
-                           left_out=belief.left, list=self.memory.own_list)
+            self.log.event(
+                "recalled",
+                age_ms=(self.loop.now - self.memory.then.wall) // MS,
+                backends=len(belief.backends),
+                links=belief.links,
+                cuts=belief.cuts,
+                strained=belief.fleet["strained"],
+                room=round(belief.fleet["room"], 3),
+                left_out=belief.left,
+                list=self.memory.own_list,
+            )
         elif why != NONE:
             self.log.event("recall_ignored", why=why)
 
     def _hand_on(self, names, last):
-        changes = self.memory.changes(self.coordinator, self.discovery.addresses, self.discovery.index,
-                                      self.loop.now, names, last)
+        changes = self.memory.changes(
+            self.coordinator, self.discovery.addresses, self.discovery.index, self.loop.now, names, last
+        )
         if changes:
             self.writer.submit(changes)
 
--- a/granitespool/state/ledger.py
+++ b/granitespool/state/ledger.py
@@ -3,12 +3,13 @@
 Every link moves with every report. Written each time, the folder of a thousand backends would take most of a
 megabyte a second; what is worth a write is what would change a start: a fact that is not a sum, a mean that
 moved by a tenth, an amount that moved by half, or a value so old that its age alone would cost it belief."""
+
 from granitespool.state.record import Backend, Fleet
 
-MOVED = 0.1          # part a mean or a share must move by: the resend threshold of the weights
-AMOUNT = 0.5         # part an amount must move by: it only tells how sure a mean is
-SHARE = 0.02         # step of a share that counts: errors among tries, what is let in
-REFRESH_PART = 0.5   # part of the half-life after which a value is written again: a third of its belief
+MOVED = 0.1  # part a mean or a share must move by: the resend threshold of the weights
+AMOUNT = 0.5  # part an amount must move by: it only tells how sure a mean is
+SHARE = 0.02  # step of a share that counts: errors among tries, what is let in
+REFRESH_PART = 0.5  # part of the half-life after which a value is written again: a third of its belief
 FACTS = "phase", "zone", "kind", "listed", "started", "gone_at", "ramp_from", "proven", "missing", "address"
 
 
@@ -60,21 +61,27 @@
 def fleet_moved(old, new):
     if (old.strained, old.index, old.asked.keys()) != (new.strained, new.index, new.asked.keys()):
         return True
-    shed = new.room < 1                          # who asked how much decides only while some are refused
-    return abs(old.room - new.room) > SHARE or abs(old.through - new.through) > SHARE \
-        or shed and any(part_moved(old.asked[name], asked, AMOUNT) for name, asked in new.asked.items())
+    shed = new.room < 1  # who asked how much decides only while some are refused
+    return (
+        abs(old.room - new.room) > SHARE
+        or abs(old.through - new.through) > SHARE
+        or shed
+        and any(part_moved(old.asked[name], asked, AMOUNT) for name, asked in new.asked.items())
+    )
 
 
 def link_moved(old, new):
     if (old.cut_at, old.ramp_from) != (new.cut_at, new.ramp_from) or (old.low is None) != (new.low is None):
         return True
     if min(old.over, 2) != min(new.over, 2) or bool(old.streak) != bool(new.streak):
-        return True                              # that they fail running counts, how many is soon forgotten
+        return True  # that they fail running counts, how many is soon forgotten
     if new.low is not None and part_moved(old.low[1], new.low[1], MOVED):
         return True
     if part_moved(old.answered, new.answered, AMOUNT) or part_moved(old.tries, new.tries, AMOUNT):
         return True
     if not new.answered or not new.tries or not old.tries or not old.answered:
         return False
-    return part_moved(old.time / old.answered, new.time / new.answered, MOVED) \
+    return (
+        part_moved(old.time / old.answered, new.time / new.answered, MOVED)
         or abs(old.failed / old.tries - new.failed / new.tries) > SHARE
+    )
--- a/granitespool/state/memory.py
+++ b/granitespool/state/memory.py
@@ -8,10 +8,11 @@
 4. `recall(coordinator, now, clocks)`, after that list was reported: the belief.
 5. `changes(coordinator, addresses, index, now, names, last)`, again and again.
 """
+
 from granitespool.state import record, trust
 from granitespool.state.ledger import Ledger
 
-SECOND = 1_000_000_000               # ns
+SECOND = 1_000_000_000  # ns
 NONE = "the folder holds no record"  # a first start: no line is worth it
 
 
@@ -39,8 +40,11 @@
         if self.why:
             return {}
         self.kept, self.ledger.written = kept, record.values_of(kept)
-        return {key: record.value_bytes(value) for values in self.ledger.written.values()
-                for key, value in values.items()}
+        return {
+            key: record.value_bytes(value)
+            for values in self.ledger.written.values()
+            for key, value in values.items()
+        }
 
     def first_list(self, known):
         """The list to start from: the record's, where it is believed and newer, else the one that was
@@ -53,11 +57,19 @@
     def recall(self, coordinator, now, clocks):
         """Has the coordinator recall what is believed, and returns the Belief; None where nothing is, see
         `why`."""
-        kept, self.kept = self.kept, None        # it is not needed any more
+        kept, self.kept = self.kept, None  # it is not needed any more
         if kept is None:
             return None
-        belief = trust.believed(kept, self.then, clocks, coordinator.listed(), frozenset(self.identity.zones),
-                                self.own_list, self.half_life, self.oldest)
+        belief = trust.believed(
+            kept,
+            self.then,
+            clocks,
+            coordinator.listed(),
+            frozenset(self.identity.zones),
+            self.own_list,
+            self.half_life,
+            self.oldest,
+        )
         coordinator.report(now, "recalled", fleet=belief.fleet, backends=belief.backends)
         return belief
 
@@ -66,8 +78,10 @@
         of them also about the fleet, and about who is gone."""
         fleet, backends = coordinator.learnt(names)
         values = record.values(fleet if last else None, backends, addresses, index, now)
-        changes = {key: None if value is None else record.value_bytes(value)
-                   for key, value in self.ledger.due(values).items()}
+        changes = {
+            key: None if value is None else record.value_bytes(value)
+            for key, value in self.ledger.due(values).items()
+        }
         if last:
             changes.update(dict.fromkeys(self.ledger.gone(coordinator.listed())))
         return changes
--- a/granitespool/state/record.py
+++ b/granitespool/state/record.py
@@ -3,13 +3,14 @@
 Version 1 kept a backend with all its zones in one value, so that one zone's news wrote all of them again;
 version 2 has a value for each backend and zone, with a time of its own. Whatever can't be decoded is a
 Spoilt, which is no fault of ours but of what was read."""
+
 import msgspec
 
-FORMAT = 2             # the version that is written
-FLEET = b"f"           # key of the fleet's facts
-MANAGED = b"m"         # key of the settings that managers have changed
-BACKEND = b"b"         # first byte of a backend's key, its name follows
-LINK = b"l"            # first byte of a link's key, (backend, zone) as msgpack follows
+FORMAT = 2  # the version that is written
+FLEET = b"f"  # key of the fleet's facts
+MANAGED = b"m"  # key of the settings that managers have changed
+BACKEND = b"b"  # first byte of a backend's key, its name follows
+LINK = b"l"  # first byte of a link's key, (backend, zone) as msgpack follows
 
 
 class Spoilt(Exception):
@@ -20,13 +21,13 @@
     """The first frame; `format` stays its first field in every version, so that any reader can tell it."""
 
     format: int
-    name: str                # of the coordinator
+    name: str  # of the coordinator
     classes: list[str | None]  # names in their order
     zones: list[str]
-    wall: int                # ns, Unix time when the file was begun
-    mono: int                # ns, the monotonic clock then
-    start: int               # number of the start that wrote it, from 1
-    program: str             # the program's version
+    wall: int  # ns, Unix time when the file was begun
+    mono: int  # ns, the monotonic clock then
+    start: int  # number of the start that wrote it, from 1
+    program: str  # the program's version
 
 
 class Link1(msgspec.Struct, array_like=True, frozen=True):
@@ -45,7 +46,7 @@
 
 
 class Link(Link1, array_like=True, frozen=True):
-    at: int                  # ns, when it was taken out
+    at: int  # ns, when it was taken out
 
 
 class Backend(msgspec.Struct, array_like=True, frozen=True):
@@ -59,7 +60,7 @@
     ramp_from: int | None
     proven: bool
     missing: bool
-    address: str | None      # host:port
+    address: str | None  # host:port
 
 
 class Backend1(Backend, array_like=True, frozen=True):
@@ -72,7 +73,7 @@
     room: float
     through: float
     asked: dict[str, float]
-    index: int               # version of discovery's list
+    index: int  # version of discovery's list
 
 
 class Managed(msgspec.Struct, array_like=True, frozen=True):
@@ -158,8 +159,11 @@
         found[None] = {FLEET: Fleet(at=now, index=index, **fleet)}
     for name, (facts, links) in backends.items():
         where = addresses.get(name)
-        found[name] = {BACKEND + name.encode(): Backend(
-            at=now, address="{}:{}".format(*where) if where else None, **facts)}
+        found[name] = {
+            BACKEND + name.encode(): Backend(
+                at=now, address="{}:{}".format(*where) if where else None, **facts
+            )
+        }
         for zone, met in links.items():
             found[name][link_key(name, zone)] = Link(at=now, **met)
     return found
@@ -167,9 +171,10 @@
 
 def values_of(kept):
     """The same of a Kept."""
-    found = {name: {BACKEND + name.encode(): facts,
-                    **{link_key(name, zone): link for zone, link in links.items()}}
-             for name, (facts, links) in kept.backends.items()}
+    found = {
+        name: {BACKEND + name.encode(): facts, **{link_key(name, zone): link for zone, link in links.items()}}
+        for name, (facts, links) in kept.backends.items()
+    }
     if kept.fleet is not None:
         found[None] = {FLEET: kept.fleet}
     return found
@@ -195,15 +200,20 @@
             raise Spoilt("a backend's name is not UTF-8") from None
     if version == 1:
         backends, links = from_1(backends)
-    return Kept(fleet, {name: (each, links.get(name, {})) for name, each in backends.items()},
-                managed)
+    return Kept(fleet, {name: (each, links.get(name, {})) for name, each in backends.items()}, managed)
 
 
 def from_1(backends):
     """The step from version 1 to 2: a link takes its backend's time."""
+
     def part(struct, whole, **more):
         names = [name for name in struct.__struct_fields__ if name not in more]
         return struct(**{name: getattr(whole, name) for name in names}, **more)
-    return ({name: part(Backend, each) for name, each in backends.items()},
-            {name: {zone: part(Link, link, at=each.at) for zone, link in each.links.items()}
-             for name, each in backends.items()})
+
+    return (
+        {name: part(Backend, each) for name, each in backends.items()},
+        {
+            name: {zone: part(Link, link, at=each.at) for zone, link in each.links.items()}
+            for name, each in backends.items()
+        },
+    )
--- a/granitespool/state/store.py
+++ b/granitespool/state/store.py
@@ -5,6 +5,7 @@
 was read back is always a whole state: the newest file whose snapshot is whole, with the changes up to the
 first frame that is torn. Whatever fails, the next write begins a new generation: what a failed write or sync
 left is never built on."""
+
 import errno
 import re
 
@@ -14,11 +15,11 @@
 
 NAME = re.compile(r"state-([0-9a-f]{16})(\.new)?")  # a generation's file; `.new` until it is whole
 ASIDE = ".new"
-PART = 256 * 1024         # bytes of a snapshot's frame, about: small pieces for the disk and the reader
+PART = 256 * 1024  # bytes of a snapshot's frame, about: small pieces for the disk and the reader
 COMPACT_LEAST = 256 * 1024  # bytes of changes under which no new generation is worth its syncs
-COMPACT_GROWTH = 4        # times the snapshot that the changes after it may take: what a start has to read
-VALUE_HEAD = 16           # bytes that a key and value take in a frame beside their own, at most
-FILE_HEAD = 4096          # bytes of a file beside its values, at most: begin, header, heads of frames
+COMPACT_GROWTH = 4  # times the snapshot that the changes after it may take: what a start has to read
+VALUE_HEAD = 16  # bytes that a key and value take in a frame beside their own, at most
+FILE_HEAD = 4096  # bytes of a file beside its values, at most: begin, header, heads of frames
 
 
 class Newer(Exception):
@@ -53,7 +54,7 @@
 def read_file(name, data):
     """(Found or None, what is wrong or None) of one file's bytes; Newer for a newer format's."""
     found = None
-    snapshot = False             # whether its snapshot is whole
+    snapshot = False  # whether its snapshot is whole
     try:
         generation = frames.generation_of(data)
         if file_name(generation) != name:
@@ -125,9 +126,9 @@
     def __init__(self, folder, most, header):
         """`header()` gives a Header for a new file; `most` bytes that the folder may hold."""
         self.folder, self.most, self.header, self.held = folder, most, header, {}
-        self.name = None             # the file that is appended to; None: the next write begins a new one
+        self.name = None  # the file that is appended to; None: the next write begins a new one
         self.generation = self.size = self.base = self.written = 0
-        self.live = FILE_HEAD        # bytes that a snapshot of `held` takes, at most
+        self.live = FILE_HEAD  # bytes that a snapshot of `held` takes, at most
 
     def append(self, wall, mono, changes):
         """Changes are on the disk and synced afterwards, or an OSError tells why not; then they wait in
@@ -138,8 +139,11 @@
             data = frames.frame(self.generation, self.size, CHANGED, body)
             changed = self.size + len(data) - self.base
             room = self.size + len(data) + self.live <= self.most  # the next snapshot must fit beside it
-            if len(body) < frames.BODY_MOST and room \
-                    and changed <= max(COMPACT_LEAST, COMPACT_GROWTH * self.base):
+            if (
+                len(body) < frames.BODY_MOST
+                and room
+                and changed <= max(COMPACT_LEAST, COMPACT_GROWTH * self.base)
+            ):
                 return self._add(data)
         return self.begin(wall, mono)
 
@@ -154,7 +158,7 @@
                 self.live += len(key) + len(value) + VALUE_HEAD
 
     def _add(self, data):
-        name, self.name = self.name, None        # unless all of it goes well, nothing is built on this file
+        name, self.name = self.name, None  # unless all of it goes well, nothing is built on this file
         self.folder.append(name, data)
         self.folder.sync(name)
         self.name, self.size, self.written = name, self.size + len(data), self.written + len(data)
@@ -165,7 +169,7 @@
             self.folder.shut(self.name)
         self.name, names = None, self.folder.names()
         whole, aside = ours(names)
-        for name in aside:                       # a former write that never became whole
+        for name in aside:  # a former write that never became whole
             self.folder.unlink(name)
         taken = sum(self.folder.size(name) for name in whole.values())
         if taken + self.live > self.most and len(whole) > 1:
@@ -196,6 +200,7 @@
             data = frames.frame(generation, size, kind, body)
             self.folder.append(name, data)
             size += len(data)
+
         add(HEADER, record.value_bytes(self.header()))
         part, length = {}, 0
         for key, value in self.held.items():
@@ -217,5 +222,5 @@
                 self.folder.unlink(name)
                 dropped += size
             except OSError:
-                pass                             # it is older: who reads takes the newest
+                pass  # it is older: who reads takes the newest
         return dropped
--- a/granitespool/state/trust.py
+++ b/granitespool/state/trust.py
@@ -8,20 +8,21 @@
     cuts, running failures, a jam                       while their belief is at least LIKELY
 
 What is met after the start goes before all of it; the planner sees to that, and to the rules."""
+
 from math import isfinite
 from typing import NamedTuple
 
 from granitespool.state.record import Backend, Header, Kept, Link
 
-LIKELY = 0.5           # belief under which a yes or no (a cut, a jam) is a guess: it is left out
+LIKELY = 0.5  # belief under which a yes or no (a cut, a jam) is a guess: it is left out
 CLOCK_SLACK = 1_000_000_000  # ns by which two clocks may differ: one is slewed, the other not
-SUM_MOST = 1e18        # a sum above it is none: the words' own bound for a figure
+SUM_MOST = 1e18  # a sum above it is none: the words' own bound for a figure
 MEASURES = "tries", "failed", "answered", "time"
 
 
 class Clocks(NamedTuple):
-    wall: int          # ns, Unix time
-    mono: int          # ns, the machine's monotonic clock: starts anew with the machine only
+    wall: int  # ns, Unix time
+    mono: int  # ns, the machine's monotonic clock: starts anew with the machine only
 
 
 class Identity(NamedTuple):
@@ -34,8 +35,8 @@
     """What is to be recalled, and how that came about."""
 
     fleet: dict
-    backends: dict     # backend -> (facts, {zone: facts}), as the planner's `recalled` takes them
-    left: dict         # reason -> how many backends it left out
+    backends: dict  # backend -> (facts, {zone: facts}), as the planner's `recalled` takes them
+    left: dict  # reason -> how many backends it left out
     links: int
     cuts: int
 
@@ -79,29 +80,52 @@
     """The record's list in discovery's form where it is newer than the version `index`, or None."""
     if kept.fleet is None or kept.fleet.index <= index:
         return None
-    return {"index": kept.fleet.index, "snapshot": True, "endpoints": [
-        {"name": name, "address": each.address, "zone": each.zone, "type": each.kind, "status": each.phase,
-         "weight": each.listed, "since_ms": each.started // 1_000_000}
-        for name, (each, _) in kept.backends.items()]}
+    return {
+        "index": kept.fleet.index,
+        "snapshot": True,
+        "endpoints": [
+            {
+                "name": name,
+                "address": each.address,
+                "zone": each.zone,
+                "type": each.kind,
+                "status": each.phase,
+                "weight": each.listed,
+                "since_ms": each.started // 1_000_000,
+            }
+            for name, (each, _) in kept.backends.items()
+        ],
+    }
 
 
 def believed(kept: Kept, then, now, listed, zones, own_list, half_life, oldest):
     """The Belief of a record that was last written at the Clocks `then`, of which nothing gave a doubt.
     `listed`: {backend: (phase, started)} of the newest list; `own_list`: that list is the record's own;
     times in ns."""
+
     def belief(at):
         old = now.wall - min(at, then.wall)
         return 0.0 if old > oldest else 0.5 ** (old / half_life)
+
     left, backends, links, cuts = {}, {}, 0, 0
     for name, (each, met) in kept.backends.items():
         reason = _left_out(each, listed.get(name), belief(each.at))
         if reason:
             left[reason] = left.get(reason, 0) + 1
             continue
-        found = {zone: _link(link, part, now.wall) for zone, link in met.items()
-                 if zone in zones and sane(link) and (part := belief(link.at))}
-        backends[name] = {"ramp_from": _past(each.ramp_from, now.wall), "proven": each.proven,
-                          "missing": each.missing and own_list}, found
+        found = {
+            zone: _link(link, part, now.wall)
+            for zone, link in met.items()
+            if zone in zones and sane(link) and (part := belief(link.at))
+        }
+        backends[name] = (
+            {
+                "ramp_from": _past(each.ramp_from, now.wall),
+                "proven": each.proven,
+                "missing": each.missing and own_list,
+            },
+            found,
+        )
         links += len(found)
         cuts += sum(link["cut_at"] is not None for link in found.values())
     return Belief(_fleet(kept.fleet, belief), backends, left, links, cuts)
@@ -120,9 +144,12 @@
 def sane(link: Link):
     """Whether these can be sums of what was met."""
     sums = [getattr(link, key) for key in MEASURES]
-    return all(isfinite(x) and 0 <= x <= SUM_MOST for x in (*sums, link.streak, link.over)) \
-        and link.failed <= link.tries * 1.001 and link.answered <= link.tries * 1.001 \
+    return (
+        all(isfinite(x) and 0 <= x <= SUM_MOST for x in (*sums, link.streak, link.over))
+        and link.failed <= link.tries * 1.001
+        and link.answered <= link.tries * 1.001
         and (link.low is None or isfinite(link.low[1]) and 0 < link.low[1] <= SUM_MOST)
+    )
 
 
 def _past(time, now):
@@ -131,10 +158,14 @@
 
 def _link(link: Link, part, now):
     likely = part >= LIKELY
-    return {**{key: getattr(link, key) * part for key in MEASURES},
-            "low": link.low and (min(link.low[0], now), link.low[1]),
-            "over": link.over if likely else 0, "streak": link.streak if likely else 0,
-            "cut_at": _past(link.cut_at, now) if likely else None, "ramp_from": _past(link.ramp_from, now)}
+    return {
+        **{key: getattr(link, key) * part for key in MEASURES},
+        "low": link.low and (min(link.low[0], now), link.low[1]),
+        "over": link.over if likely else 0,
+        "streak": link.streak if likely else 0,
+        "cut_at": _past(link.cut_at, now) if likely else None,
+        "ramp_from": _past(link.ramp_from, now),
+    }
 
 
 def _fleet(fleet, belief):
@@ -142,6 +173,9 @@
     if not part or not all(isfinite(x) and 0 <= x <= 1 for x in (fleet.room, fleet.through)):
         return {"strained": False, "room": 1.0, "through": 1.0, "asked": {}}
     likely = part >= LIKELY
-    return {"strained": fleet.strained and likely, "room": 1 - (1 - fleet.room) * part if likely else 1.0,
-            "through": 1 - (1 - fleet.through) * part,
-            "asked": {name: number for name, number in fleet.asked.items() if 0 <= number <= SUM_MOST}}
+    return {
+        "strained": fleet.strained and likely,
+        "room": 1 - (1 - fleet.room) * part if likely else 1.0,
+        "through": 1 - (1 - fleet.through) * part,
+        "asked": {name: number for name, number in fleet.asked.items() if 0 <= number <= SUM_MOST},
+    }
--- a/granitespool/state/writer.py
+++ b/granitespool/state/writer.py
@@ -4,6 +4,7 @@
 The loop hands over changes and never waits; what waits for the disk is one value a key, the newest. A disk
 that fails is told once, tried again with growing pauses, and told once more when it is well. No decision is
 taken here: what is worth writing and what is believed stand in ledger and trust."""
+
 import threading
 from collections import deque
 
@@ -13,9 +14,9 @@
 from granitespool.state.store import Newer, Store, recover
 
 MB = 1 << 20
-PAUSE_FIRST = 0.5   # s before a failed write is tried again
-PAUSE_MOST = 30.0   # s between tries at most: a disk that was mended is used again within half a minute
-TOLD_MOST = 64      # words for the loop that wait at most: each is told once a change of state
+PAUSE_FIRST = 0.5  # s before a failed write is tried again
+PAUSE_MOST = 30.0  # s between tries at most: a disk that was mended is used again within half a minute
+TOLD_MOST = 64  # words for the loop that wait at most: each is told once a change of state
 
 
 class Opened:
@@ -23,7 +24,7 @@
 
     def __init__(self, found=None, kept=None, problems=(), why=None):
         self.found, self.kept, self.problems, self.why = found, kept, problems, why
-        self.owned = None            # one sentence where another process owns the folder
+        self.owned = None  # one sentence where another process owns the folder
 
 
 def read_back(folder, most):
@@ -48,12 +49,12 @@
         mono)."""
         self.folder, self.most, self.wake, self.clocks = folder, most_mb * MB, wake, clocks
         self.header = header
-        self.changed = threading.Condition()     # guards all below up to the thread
+        self.changed = threading.Condition()  # guards all below up to the thread
         self.pending, self.closing, self.told = {}, False, deque(maxlen=TOLD_MOST)
         self.synced, self.written, self.writes = 0, 0, 0  # wall ns of the newest batch; bytes; batches
-        self.failing = False                     # whether the last word about the disk was a bad one
-        self.awaited = False                     # whether the loop is to look as soon as it is safe
-        self.tickets = self.safe = 0             # of what was submitted; the last that is on the disk
+        self.failing = False  # whether the last word about the disk was a bad one
+        self.awaited = False  # whether the loop is to look as soon as it is safe
+        self.tickets = self.safe = 0  # of what was submitted; the last that is on the disk
         self.opened, self.ready = None, threading.Event()
         self.thread = threading.Thread(target=self._run, name="granitespool-state", daemon=True)
         self.thread.start()
@@ -101,7 +102,7 @@
         self.failing = event != "state_back"
         with self.changed:
             self.told.append((event, fields))
-            if not self.closing:                 # the loop may be gone by then, and its descriptor another's
+            if not self.closing:  # the loop may be gone by then, and its descriptor another's
                 self.wake()
 
     def _run(self):
@@ -109,7 +110,7 @@
             store = self._open()
             if store:
                 self._serve(store)
-        except Exception as error:               # a fault of ours: the service goes on without a memory
+        except Exception as error:  # a fault of ours: the service goes on without a memory
             self._tell("state_failed", why=f"{type(error).__name__}: {error}", retry=False)
         finally:
             self.ready.set()
@@ -134,7 +135,7 @@
                 self.folder.close()
                 failed = self._failed(error, failed)
                 self.opened = self.opened or Opened(why=f"the folder cannot be used: {error.strerror}")
-                self.ready.set()                 # a start does not wait for a broken disk
+                self.ready.set()  # a start does not wait for a broken disk
                 if self._rest(pause):
                     return None
                 pause = min(PAUSE_MOST, pause * 2)
@@ -177,7 +178,7 @@
                     self._last(store, wall, mono, changes)
                 else:
                     store.append(wall, mono, changes)
-            except OSError as error:             # the store holds what it was handed, and writes it next time
+            except OSError as error:  # the store holds what it was handed, and writes it next time
                 failed = self._failed(error, failed)
                 if closing or self._rest(pause):
                     return
@@ -192,7 +193,7 @@
             with self.changed:
                 self.safe = ticket
                 if self.awaited and not self.closing:
-                    self.wake()                  # a manager waits for it
+                    self.wake()  # a manager waits for it
                 self.awaited = False
             if closing:
                 return
--- a/granitespool/wirehost.py
+++ b/granitespool/wirehost.py
@@ -3,6 +3,7 @@
 Wire names, units and encodings end here. Each instance is a planner of its own with a host of its own;
 nothing is shared between them. No decision is taken in this file.
 """
+
 import json
 import sys
 import traceback
@@ -11,8 +12,14 @@
 from granitespool.settings import NUM, SIMULATED, US, BadInput, list_entry, load_map, need, settings_map
 
 FORM = {"update": "changes", "replace": "whole", "restored": "restored", "unavailable": "failed"}
-ANSWER = {"delivered": "ok", "app_error": "error", "shed": "full", "expired": "timeout",
-          "dial_failed": "unreachable", "dropped": "reset"}
+ANSWER = {
+    "delivered": "ok",
+    "app_error": "error",
+    "shed": "full",
+    "expired": "timeout",
+    "dial_failed": "unreachable",
+    "dropped": "reset",
+}
 
 
 class WireHost:
@@ -40,7 +47,7 @@
         return {proxy: min(held, known) / known for proxy, (held, _) in unbound.items()}
 
     def returns(self, proxies, table, backend=None):
-        return {}                # a bound proxy follows the table's shut-outs alone
+        return {}  # a bound proxy follows the table's shut-outs alone
 
     def level(self, table, classes, share, retries):
         self._do("level", tbl=table, for_classes=classes, level=share, how=retries)
@@ -78,31 +85,56 @@
 # event -> call on the planner; `e` is the event, `now` the batch clock
 CALLS = {
     "backends_changed": lambda p, now, e: p.list_news(
-        now, FORM.get(need(e, "form", str), "failed"),
-        [list_entry(r, SIMULATED) for r in e.get("rows_in") or []]),
+        now,
+        FORM.get(need(e, "form", str), "failed"),
+        [list_entry(r, SIMULATED) for r in e.get("rows_in") or []],
+    ),
     "tick_due": lambda p, now, e: p.timer(now, need(e, "cookie", str)),
-    "echo": lambda p, now, e: p.probed(now, need(e, "backend", str),
-                                       ANSWER.get(need(e, "state_code", str), "error"),
-                                       time(e, "spent_us"), load_map(e.get("health_info"))),
+    "echo": lambda p, now, e: p.probed(
+        now,
+        need(e, "backend", str),
+        ANSWER.get(need(e, "state_code", str), "error"),
+        time(e, "spent_us"),
+        load_map(e.get("health_info")),
+    ),
     "peer_data": lambda p, now, e: p.peer_said(now, need(e, "sender", int), need(e, "contents", str)),
-    "connected": lambda p, now, e: p.joined(now, need(e, "agent", int), need(e, "zone", str),
-                                            need(e, "flag", bool), e.get("weight") or 0),
+    "connected": lambda p, now, e: p.joined(
+        now, need(e, "agent", int), need(e, "zone", str), need(e, "flag", bool), e.get("weight") or 0
+    ),
     "left": lambda p, now, e: p.left(now, need(e, "agent", int)),
-    "heard": lambda p, now, e: p.heard(now, need(e, "zone", str), need(e, "backend", str),
-                                       need(e, "number", NUM), need(e, "bad", NUM),
-                                       time(e, "spent_us"), time(e, "window_us"),
-                                       load_map(e.get("health_info"))),
-    "arrivals": lambda p, now, e: p.arrivals(now, need(e, "agent", int), need(e, "grade", str),
-                                             need(e, "number", NUM), need(e, "bad", NUM),
-                                             time(e, "window_us")),
-    "slice_load": lambda p, now, e: p.slice_load(now, need(e, "tbl", int), need(e, "grade", str),
-                                                 need(e, "number", NUM), need(e, "bad", NUM),
-                                                 time(e, "window_us")),
+    "heard": lambda p, now, e: p.heard(
+        now,
+        need(e, "zone", str),
+        need(e, "backend", str),
+        need(e, "number", NUM),
+        need(e, "bad", NUM),
+        time(e, "spent_us"),
+        time(e, "window_us"),
+        load_map(e.get("health_info")),
+    ),
+    "arrivals": lambda p, now, e: p.arrivals(
+        now,
+        need(e, "agent", int),
+        need(e, "grade", str),
+        need(e, "number", NUM),
+        need(e, "bad", NUM),
+        time(e, "window_us"),
+    ),
+    "slice_load": lambda p, now, e: p.slice_load(
+        now,
+        need(e, "tbl", int),
+        need(e, "grade", str),
+        need(e, "number", NUM),
+        need(e, "bad", NUM),
+        time(e, "window_us"),
+    ),
     "mandate": lambda p, now, e: p.slice_given(now, need(e, "tbl", int), need(e, "flag", bool)),
-    "held": lambda p, now, e: p.slice_line(now, need(e, "tbl", int), need(e, "backend", str),
-                                           need(e, "weight", NUM)),
-    "in_force": lambda p, now, e: p.applied(now, need(e, "agent", int), need(e, "serial", int),
-                                            time(e, "spent_us")),
+    "held": lambda p, now, e: p.slice_line(
+        now, need(e, "tbl", int), need(e, "backend", str), need(e, "weight", NUM)
+    ),
+    "in_force": lambda p, now, e: p.applied(
+        now, need(e, "agent", int), need(e, "serial", int), time(e, "spent_us")
+    ),
 }
 
 
@@ -130,8 +162,13 @@
         if name == "start":
             seed, wire = need(event, "entropy", int), need(event, "settings", dict)
             host = WireHost(instance, reply)
-            self._guarded(instance, reply, lambda: self.planners.__setitem__(
-                instance, (host, Planner(host, now, seed, settings_map(wire)))))
+            self._guarded(
+                instance,
+                reply,
+                lambda: self.planners.__setitem__(
+                    instance, (host, Planner(host, now, seed, settings_map(wire)))
+                ),
+            )
         elif name == "shutdown":
             self.planners.pop(instance, None)
         elif name not in CALLS:
@@ -149,8 +186,9 @@
         except Exception as error:  # told to the other side, which ends the day
             traceback.print_exc()
             self.planners.pop(instance, None)
-            reply.append({"type": "fatal", "coordinator": instance,
-                          "reason_text": f"{type(error).__name__}: {error}"})
+            reply.append(
+                {"type": "fatal", "coordinator": instance, "reason_text": f"{type(error).__name__}: {error}"}
+            )
 
 
 def main():
--- a/tests/disks.py
+++ b/tests/disks.py
@@ -3,6 +3,7 @@
 It has the calls of state.disk.Folder. Files are inodes with what is safe and what is there; names are safe
 only after `sync_names`. `crash_at` ends the call of that number half way in Crash, `fails` has calls end in
 OSError."""
+
 import errno
 import os
 
@@ -19,9 +20,9 @@
 class Forgetful:
     def __init__(self, files=None):
         self.safe_names = {name: Inode(data) for name, data in (files or {}).items()}
-        self.present, self.pending = dict(self.safe_names), []   # names now; changes of names not yet safe
+        self.present, self.pending = dict(self.safe_names), []  # names now; changes of names not yet safe
         self.calls, self.crash_at, self.fails, self.open = 0, None, {}, {}
-        self.log = []                                            # (number, call, name) of each call so far
+        self.log = []  # (number, call, name) of each call so far
 
     def _call(self, call, name=""):
         """Whether this call is the one that the machine stops in."""
@@ -56,8 +57,8 @@
         return len(self._there(name).data)
 
     def append(self, name, data):
-        if self.fails.get("append"):             # a disk that is full takes some of it
-            data = data[:len(data) // 2]
+        if self.fails.get("append"):  # a disk that is full takes some of it
+            data = data[: len(data) // 2]
         if name not in self.present:
             self.present[name] = Inode()
             self.pending.append(("make", name, self.present[name]))
@@ -69,7 +70,7 @@
 
     def sync(self, name):
         inode = self.open[name]
-        if self.fails.get("sync"):               # the system forgets it, and says so once
+        if self.fails.get("sync"):  # the system forgets it, and says so once
             inode.data = inode.safe + bytes(len(inode.data) - len(inode.safe))
         if self._call("sync", name):
             raise Crash
@@ -115,7 +116,7 @@
                 names[more] = names.pop(name)
             elif kind == "unlink":
                 names.pop(name, None)
-        return {name: inode.safe + tear(inode.data[len(inode.safe):]) for name, inode in names.items()}
+        return {name: inode.safe + tear(inode.data[len(inode.safe) :]) for name, inode in names.items()}
 
 
 def tears(size):
@@ -124,6 +125,6 @@
     lengths = range(size + 1) if size < 40 else sorted(some)
     found = [lambda data, n=n: data[:n] for n in lengths]
     found.append(lambda data: bytes(len(data)))
-    found.append(lambda data: bytes(len(data) // 2) + data[len(data) // 2:])
-    found.append(lambda data: data[:len(data) // 2] + bytes(len(data) - len(data) // 2))
+    found.append(lambda data: bytes(len(data) // 2) + data[len(data) // 2 :])
+    found.append(lambda data: data[: len(data) // 2] + bytes(len(data) - len(data) // 2))
     return found
--- a/tests/house.py
+++ b/tests/house.py
@@ -1,4 +1,5 @@
 """A whole service with managers' doors, in a thread and in real time, for clients that block."""
+
 import json
 import os
 import secrets
@@ -13,13 +14,26 @@
 from granitespool.net.service import Service
 from granitespool.operator import Netconf, Operator, State, Tls, User
 
-SETTINGS = {"zones": ["n", "s"], "classes": [
-    {"name": "pay", "semantics": "single_shot", "aim_us": 300_000, "give_up_us": 900_000, "worth": 5.0}],
+SETTINGS = {
+    "zones": ["n", "s"],
+    "classes": [
+        {"name": "pay", "semantics": "single_shot", "aim_us": 300_000, "give_up_us": 900_000, "worth": 5.0}
+    ],
     "family_info": {"proxy_count": 16, "egress_per_s": 1000.0, "most_waiting": 2000.0, "envelope": 2},
-    "rules": {"stop_sending_within_us": 3_000_000}}
-KNOWN = [{"name": f"s-{k}", "address": "127.0.0.1:9", "zone": "n", "type": "m", "status": "ready",
-          "weight": 1.0,
-          "since_ms": 0} for k in range(6)]
+    "rules": {"stop_sending_within_us": 3_000_000},
+}
+KNOWN = [
+    {
+        "name": f"s-{k}",
+        "address": "127.0.0.1:9",
+        "zone": "n",
+        "type": "m",
+        "status": "ready",
+        "weight": 1.0,
+        "since_ms": 0,
+    }
+    for k in range(6)
+]
 
 
 def free_port():
@@ -43,22 +57,39 @@
         self.path, self.keys, self.lines, self.known, self.limits = path, keys_folder, [], known, limits or {}
         self.file, self.reading = path / "config.json", dict(SETTINGS)
         self.where = "127.0.0.1", free_port()
-        tls = Tls(certificate=f"{keys_folder}/server.pem", key=f"{keys_folder}/server.key",
-                  authorities=f"{keys_folder}/ca.pem")
+        tls = Tls(
+            certificate=f"{keys_folder}/server.pem",
+            key=f"{keys_folder}/server.key",
+            authorities=f"{keys_folder}/ca.pem",
+        )
         self.operator = Operator(
-            tls=tls, netconf=Netconf(listen="127.0.0.1:{}".format(self.where[1]), **netconf),
+            tls=tls,
+            netconf=Netconf(listen="127.0.0.1:{}".format(self.where[1]), **netconf),
             state=State(folder=str(path / "state"), every_ms=200) if state else None,
-            users={"operations": User(certificate="cn:operations", write="*"),
-                   "reader": User(certificate="cn:reader"),
-                   "pacer": User(certificate="cn:pacer", write="channel")})
+            users={
+                "operations": User(certificate="cn:operations", write="*"),
+                "reader": User(certificate="cn:reader"),
+                "pacer": User(certificate="cn:pacer", write="channel"),
+            },
+        )
         self.write()
 
     def write(self, **changes):
         """Writes the configuration's file, with other settings."""
         self.reading.update(changes)
-        self.file.write_text(json.dumps({
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1f",
-            "limits": self.limits, "known": {"index": 1, "endpoints": self.known}, "settings": self.reading}))
+        self.file.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": "127.0.0.1:0",
+                    "discovery": "127.0.0.1:9",
+                    "seed": "1f",
+                    "limits": self.limits,
+                    "known": {"index": 1, "endpoints": self.known},
+                    "settings": self.reading,
+                }
+            )
+        )
 
     def read(self):
         return {**config.load(str(self.file)), "operator": self.operator}
@@ -91,8 +122,9 @@
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             for line in list(self.lines):
-                if line["event"] == event and all(str(value) in str(line[key]) for key, value
-                                                  in fields.items()):
+                if line["event"] == event and all(
+                    str(value) in str(line[key]) for key, value in fields.items()
+                ):
                     return line
             time.sleep(0.01)
         raise AssertionError((event, fields, self.lines[-8:]))
@@ -120,8 +152,9 @@
     def proxy(self, number=1, zone="n"):
         """A joined proxy's plain socket, after its first table."""
         sock = socket.create_connection(self.service.streams.listener.getsockname(), timeout=5)
-        body = json.dumps({"type": "joined", "node": number, "locality": zone, "w": 5.0,
-                           "cold": True}).encode()
+        body = json.dumps(
+            {"type": "joined", "node": number, "locality": zone, "w": 5.0, "cold": True}
+        ).encode()
         sock.sendall(len(body).to_bytes(4, "little") + body)
         assert b"lines" in sock.recv(1 << 16)
         return sock
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -1,4 +1,5 @@
 """Plays one scenario: a planner on a host that notes what is asked; tests/README.md has the notation."""
+
 import copy
 import json
 import os
@@ -27,7 +28,7 @@
 
 
 def accepted(listener):
-    with suppress(OSError):              # nobody waits, or no descriptor is free
+    with suppress(OSError):  # nobody waits, or no descriptor is free
         sock = listener.accept()[0]
         sock.setblocking(False)
         return sock
@@ -52,8 +53,8 @@
     if word in ("true", "false"):
         return word == "true"
     for unit, size in UNITS.items():
-        if word.endswith(unit) and word[:-len(unit)].replace(".", "").isdigit():
-            return round(float(word[:-len(unit)]) * size)
+        if word.endswith(unit) and word[: -len(unit)].replace(".", "").isdigit():
+            return round(float(word[: -len(unit)]) * size)
     try:
         return int(word) if word.lstrip("-").isdigit() else float(word)
     except ValueError:
@@ -68,8 +69,9 @@
         self.settings, self.planner = {"zones": ["n", "s"], "classes": []}, None
 
     def __getattr__(self, name):  # any call of the host's interface
-        return lambda *args: self.calls.append(" ".join([name, *(f"{a:g}" if isinstance(a, float) else str(a)
-                                                                 for a in args)]))
+        return lambda *args: self.calls.append(
+            " ".join([name, *(f"{a:g}" if isinstance(a, float) else str(a) for a in args)])
+        )
 
     def reach(self, backend, out, unbound, known):  # as the simulator's channel has it
         return {proxy: min(held, known) / known for proxy, (held, _) in unbound.items()}
@@ -96,8 +98,15 @@
         self.settings.update((k, value(v)) for k, v in (pair.split("=") for pair in pairs))
 
     def do_class(self, name, effect, promised, benefit):
-        self.settings["classes"].append({"name": name, "effect": effect, "promised_time": value(promised),
-                                         "time_limit": 3 * value(promised), "benefit": value(benefit)})
+        self.settings["classes"].append(
+            {
+                "name": name,
+                "effect": effect,
+                "promised_time": value(promised),
+                "time_limit": 3 * value(promised),
+                "benefit": value(benefit),
+            }
+        )
 
     def do_at(self, when):
         self.begin()
@@ -112,34 +121,53 @@
     def do_list(self, form, *entries):
         rows = []
         for entry in entries:  # id:zone[:weight[:phase[:started]]]
-            usual = ["1", "ready", "0"][entry.count(":") - 1:]
+            usual = ["1", "ready", "0"][entry.count(":") - 1 :]
             name, zone, weight, phase, started = (entry.split(":") + usual)[:5]
-            rows.append({"backend": name, "zone": zone, "kind": None, "cell": 0, "phase": phase,
-                         "weight": value(weight), "started": value(started)})
+            rows.append(
+                {
+                    "backend": name,
+                    "zone": zone,
+                    "kind": None,
+                    "cell": 0,
+                    "phase": phase,
+                    "weight": value(weight),
+                    "started": value(started),
+                }
+            )
         self.begin().list_news(self.now, form, rows)
 
     def do_join(self, proxy, zone):
         self.begin().joined(self.now, int(proxy), zone, True, 5.0)
 
-    def do_recalls(self, *words):    # ZONE/ID/TRIES/FAILED/MEAN[/cut], unproven/ID, strained/ROOM/CLASS=N
+    def do_recalls(self, *words):  # ZONE/ID/TRIES/FAILED/MEAN[/cut], unproven/ID, strained/ROOM/CLASS=N
         fleet, backends = {"strained": False, "room": 1.0, "through": 1.0, "asked": {}}, {}
 
         def of(backend):
             return backends.setdefault(backend, ({"ramp_from": None, "proven": True, "missing": False}, {}))
+
         for word in words:
             kind, *rest = word.split("/")
             if kind == "strained":
-                fleet.update(strained=True, room=float(rest[0]), asked={
-                    name: value(number) for name, number in (pair.split("=") for pair in rest[1:])})
+                fleet.update(
+                    strained=True,
+                    room=float(rest[0]),
+                    asked={name: value(number) for name, number in (pair.split("=") for pair in rest[1:])},
+                )
             elif kind == "unproven":
                 of(rest[0])[0]["proven"] = False
             else:
                 tries, failed, mean = map(value, rest[1:4])
                 of(rest[0])[1][kind] = {
-                    "tries": float(tries), "failed": float(failed), "answered": float(tries - failed),
-                    "time": float((tries - failed) * mean), "low": (self.now, mean) if mean else None,
-                    "over": 0, "streak": 0, "cut_at": self.now - 10**9 if "cut" in rest else None,
-                    "ramp_from": None}
+                    "tries": float(tries),
+                    "failed": float(failed),
+                    "answered": float(tries - failed),
+                    "time": float((tries - failed) * mean),
+                    "low": (self.now, mean) if mean else None,
+                    "over": 0,
+                    "streak": 0,
+                    "cut_at": self.now - 10**9 if "cut" in rest else None,
+                    "ramp_from": None,
+                }
         self.begin().recalled(self.now, fleet, backends)
 
     def do_crowd(self, number, zone):
@@ -192,7 +220,7 @@
             self.planner = self
         return self
 
-    def __getattr__(self, name):     # the planner's methods, as reports
+    def __getattr__(self, name):  # the planner's methods, as reports
         words = signature(getattr(Planner, name)).parameters
         return lambda now, *args: self.facade.report(now, name, **dict(zip([*words][2:], args)))
 
@@ -218,11 +246,20 @@
     def text(order):
         if not order:
             return "nothing"
-        parts = [" ".join(["whole" if whole else "lines",
-                           *([",".join(classes)] if classes is not None else []),
-                           *(f"{b}={w:g}" for b, w in lines)]) for classes, whole, lines in order["tables"]]
-        parts += [f"level {','.join(classes) if classes is not None else 'all'} {share:g} {retries}"
-                  for classes, share, retries in order["levels"]]
+        parts = [
+            " ".join(
+                [
+                    "whole" if whole else "lines",
+                    *([",".join(classes)] if classes is not None else []),
+                    *(f"{b}={w:g}" for b, w in lines),
+                ]
+            )
+            for classes, whole, lines in order["tables"]
+        ]
+        parts += [
+            f"level {','.join(classes) if classes is not None else 'all'} {share:g} {retries}"
+            for classes, share, retries in order["levels"]
+        ]
         parts += [f"{key} {' '.join(order[key])}" for key in ("out", "back") if order[key]]
         return " | ".join([*parts, *(["mark"] if order["mark"] is not None else [])])
 
@@ -245,7 +282,7 @@
 class Sockets(Stage):
     """A whole service on loopback in this thread, on a clock of ours, with stand-ins for all others."""
 
-    TURNS, PAUSE = 400, 5_000_000    # turns that an expectation is waited for, ns each
+    TURNS, PAUSE = 400, 5_000_000  # turns that an expectation is waited for, ns each
 
     def __init__(self):
         super().__init__()
@@ -267,23 +304,31 @@
         return self.service
 
     def config(self):
-        return {"name": "t", "listen": ("127.0.0.1", 0), "discovery": self.discovery.getsockname(), "seed": 1,
-                **shares(self.limits), "peer_listen": ("127.0.0.1", 0), "peers": [self.peer.getsockname()],
-                "peers_all": self.peer.getsockname(), "known": {"index": 7, "endpoints": self.known},
-                "settings": copy.deepcopy(self.settings)}
+        return {
+            "name": "t",
+            "listen": ("127.0.0.1", 0),
+            "discovery": self.discovery.getsockname(),
+            "seed": 1,
+            **shares(self.limits),
+            "peer_listen": ("127.0.0.1", 0),
+            "peers": [self.peer.getsockname()],
+            "peers_all": self.peer.getsockname(),
+            "known": {"index": 7, "endpoints": self.known},
+            "settings": copy.deepcopy(self.settings),
+        }
 
     def reread(self):
         if self.unreadable:
             raise BadInput(self.unreadable)
         return self.config()
 
-    def do_reload(self, *changes):       # SIGHUP; changes as with `set`; `wrong` if it can't be read
+    def do_reload(self, *changes):  # SIGHUP; changes as with `set`; `wrong` if it can't be read
         self.unreadable = "it is wrong" if changes == ("wrong",) else None
         self.do_set(*() if self.unreadable else changes)
         self.service.reload()
         self.turn()
 
-    def do_moves(self):                  # discovery's next configured address; the old one takes no more
+    def do_moves(self):  # discovery's next configured address; the old one takes no more
         self.discovery.close()
         self.discovery = socket.create_server(("127.0.0.1", 0))
         self.discovery.setblocking(False)
@@ -294,8 +339,14 @@
             self.service.close()
             left = self.service.streams.pool.out, self.service.loop.all, self.service.coordinator.proxies
             assert left == (0, set(), {}), left
-        for sock in (self.discovery, self.peer, self.stranger, *self.parties.values(), *self.watches,
-                     *(each[0] for each in [*self.answers.values(), *self.probing])):
+        for sock in (
+            self.discovery,
+            self.peer,
+            self.stranger,
+            *self.parties.values(),
+            *self.watches,
+            *(each[0] for each in [*self.answers.values(), *self.probing]),
+        ):
             sock.close()
         for fd in self.pipe:
             os.close(fd)
@@ -341,8 +392,18 @@
             listener.setblocking(False)
             self.answers[name] = listener, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nutil=0.25"
             self.addresses[name] = "{}:{}".format(*listener.getsockname())
-            self.known.append({"name": name, "address": self.addresses[name], "zone": zone, "type": "m",
-                               "group": 0, "status": "ready", "weight": 1.0, "since_ms": 0})
+            self.known.append(
+                {
+                    "name": name,
+                    "address": self.addresses[name],
+                    "zone": zone,
+                    "type": "m",
+                    "group": 0,
+                    "status": "ready",
+                    "weight": 1.0,
+                    "since_ms": 0,
+                }
+            )
 
     def do_answers(self, backend, *words):  # what this backend's probes get; nothing: silence
         self.answers[backend] = self.answers[backend][0], " ".join(words).encode().decode("unicode_escape")
@@ -367,7 +428,7 @@
         view = memoryview(data)
         for _ in range(self.TURNS * 50):
             try:
-                view = view[self.parties[name].send(view):]
+                view = view[self.parties[name].send(view) :]
             except BlockingIOError:
                 pass
             except ConnectionError:
@@ -393,7 +454,7 @@
         self.send(name, bytes.fromhex(text))
         self.turn()
 
-    def do_fill(self, name, size):   # the beginning of a message of this size, its last byte missing
+    def do_fill(self, name, size):  # the beginning of a message of this size, its last byte missing
         self.send(name, int(size).to_bytes(4, "little"))
         for at in range(0, int(size) - 1, 60_000):
             self.send(name, b" " * min(60_000, int(size) - 1 - at))
@@ -410,14 +471,14 @@
         self.parties[name] = sock
         self.turn()
 
-    def do_throng(self, number, zone):   # t0, t1, ... all at once
+    def do_throng(self, number, zone):  # t0, t1, ... all at once
         real, self.turn = self.turn, lambda: None
         for k in range(int(number)):
             self.do_waits(f"t{k}", k, zone)
         self.turn = real
         self.turn()
 
-    def do_mutter(self, times):          # so many remarks of the planner
+    def do_mutter(self, times):  # so many remarks of the planner
         for _ in range(int(times)):
             self.do_host("remark", "a-word-" * 20)
 
@@ -426,28 +487,28 @@
         del self.parties[name]
         self.turn()
 
-    def do_ends(self, name):             # it has sent its last and still reads
+    def do_ends(self, name):  # it has sent its last and still reads
         self.parties[name].shutdown(socket.SHUT_WR)
         self.turn()
 
-    def do_exhausts(self, left):         # so many buffers are left
+    def do_exhausts(self, left):  # so many buffers are left
         pool = self.service.streams.pool
         pool.most = pool.out + int(left)
 
-    def do_spans(self, name):            # a buffer full of pings, and the beginning of one more
+    def do_spans(self, name):  # a buffer full of pings, and the beginning of one more
         ping = framed(['{"type":"ping"}'])
-        self.parties[name].sendall((ping * 1000)[:self.service.streams.pool.size] + b"x" * 100)
+        self.parties[name].sendall((ping * 1000)[: self.service.streams.pool.size] + b"x" * 100)
         self.turn()
 
-    def do_unreset(self, name):          # its connection ended in good order
+    def do_unreset(self, name):  # its connection ended in good order
         assert self.parties[name].recv(1) == b""
 
-    def do_alone(self):                  # nobody is connected
+    def do_alone(self):  # nobody is connected
         self.until(lambda: not self.service.streams.connections, "connections")
 
     def do_drips(self, seconds, *words):  # a byte of this each half a second, over and over, as chunks
         data = " ".join(words).encode() * 100
-        for byte in data[:value(seconds) // 500_000_000]:
+        for byte in data[: value(seconds) // 500_000_000]:
             with suppress(OSError):
                 self.watches[-1].sendall(b"1\r\n%c\r\n" % byte)
             self.do_at(f"{(self.now - EPOCH) / 10**9 + 0.5:.3f}s")
@@ -458,9 +519,13 @@
     def do_lags(self, seconds, name, *words):  # it is stopped with events in hand; this comes meanwhile
         self.stopped(seconds, lambda: self.parties[name].sendall(framed(words)))
 
-    def do_probing(self, backend):       # its probe has asked
-        self.until(lambda: any(name == backend and select.select([sock], [], [], 0)[0]
-                               for sock, name in self.probing), backend)
+    def do_probing(self, backend):  # its probe has asked
+        self.until(
+            lambda: any(
+                name == backend and select.select([sock], [], [], 0)[0] for sock, name in self.probing
+            ),
+            backend,
+        )
 
     def do_tardy(self, seconds, backend, *words):  # the same, and what comes is the answer of a probe
         [sock] = [sock for sock, name in self.probing if name == backend]
@@ -475,12 +540,13 @@
             meanwhile()
             self.now += value(seconds)
             return found
+
         self.service.loop.epoll = SimpleNamespace(poll=poll)
         self.service.turn(0)
         assert self.service.loop.epoll is real
         self.turn()
 
-    def do_together(self, *steps):       # these are done before the process runs again; split by |
+    def do_together(self, *steps):  # these are done before the process runs again; split by |
         real, self.turn = self.turn, lambda *_: None
         try:
             for step in " ".join(steps).split(" | "):
@@ -492,11 +558,11 @@
     def do_gets(self, name, *words):
         self.until(lambda: " ".join(words) in self.got[name], (name, words))
 
-    def do_never(self, name, *words):    # what was ordered before the pong came before it
+    def do_never(self, name, *words):  # what was ordered before the pong came before it
         self.do_alive(name)
         assert " ".join(words) not in self.got[name], self.got[name]
 
-    def do_deaf(self, name):             # it reads nothing any more: the way to it is full
+    def do_deaf(self, name):  # it reads nothing any more: the way to it is full
         where = "{}:{}".format(*self.parties[name].getsockname())
         full = next(each for each in self.service.streams.connections if each.peer == where)
         self.deaf[name] = full, full.sock
@@ -529,7 +595,7 @@
     def do_dropped(self, number):
         self.until(lambda: self.log.count('"dropped"') == int(number), number)
 
-    def do_unheard(self, backend):       # nothing was counted of it
+    def do_unheard(self, backend):  # nothing was counted of it
         rec = self.service.coordinator.planner.backends[backend]
         assert (rec.tried, [link.tries for link in rec.links.values() if link.tries]) == (0, []), rec.tried
 
@@ -539,14 +605,14 @@
     def do_unlogged(self, *words):
         assert " ".join(words) not in self.log, self.log
 
-    def do_unread(self):                 # nobody reads the log
+    def do_unread(self):  # nobody reads the log
         self.reads = False
 
-    def do_host(self, call, *words):     # a host call as the planner would make it
+    def do_host(self, call, *words):  # a host call as the planner would make it
         getattr(self.begin().coordinator, call)(*map(value, words))
         self.turn()
 
-    def do_flood(self, times):           # so many turns, each with new weights of two hundred lines
+    def do_flood(self, times):  # so many turns, each with new weights of two hundred lines
         for k in range(int(times)):
             for backend in range(200):
                 self.service.coordinator.weigh(0, f"backend-{backend}", float(k + 1))
@@ -554,7 +620,7 @@
         kept = [len(each.unsent) for each in self.service.streams.connections]
         assert 0 < max(kept) < 100_000, kept
 
-    def do_starve(self, more):           # the process may open so many descriptors more
+    def do_starve(self, more):  # the process may open so many descriptors more
         top = max(int(fd) for fd in os.listdir("/proc/self/fd"))
         resource.setrlimit(resource.RLIMIT_NOFILE, (top + 1, self.allowed[1]))
         with suppress(OSError):
@@ -580,12 +646,16 @@
         self.until(lambda: select.select([self.peer], [], [], 0)[0], "a datagram")
         assert self.peer.recv(512).hex() == text
 
-    def do_stall(self, seconds):         # the process is stopped so long: its wait comes back empty
+    def do_stall(self, seconds):  # the process is stopped so long: its wait comes back empty
         real, self.now = self.service.loop.epoll, self.now + value(seconds)
         empty = [[]]
         self.service.loop.epoll = SimpleNamespace(
             poll=lambda *words: empty.pop() if empty else real.poll(*words),
-            register=real.register, modify=real.modify, unregister=real.unregister, close=real.close)
+            register=real.register,
+            modify=real.modify,
+            unregister=real.unregister,
+            close=real.close,
+        )
         self.service.turn(0)
         self.service.loop.epoll = real
 
@@ -595,56 +665,81 @@
     def do_joined(self, *numbers):
         self.until(lambda: sorted(self.service.coordinator.proxies) == [*map(int, numbers)], numbers)
 
-    def do_asked(self, *words):          # discovery was asked this since it was last looked at
+    def do_asked(self, *words):  # discovery was asked this since it was last looked at
         self.until(lambda: " ".join(words) in self.asked, (words, self.asked))
         self.asked = ""
 
     def do_unasked(self):
         assert "GET" not in self.asked, self.asked
 
-    def do_grants(self):                 # discovery accepts the watch
+    def do_grants(self):  # discovery accepts the watch
         self.do_tells("HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n")
 
-    def do_tells(self, *words):          # discovery's words on the latest watch, \n and \r as escapes
+    def do_tells(self, *words):  # discovery's words on the latest watch, \n and \r as escapes
         self.until(lambda: self.watches, "a watch")
         self.watches[-1].sendall(" ".join(words).encode().decode("unicode_escape").encode())
         self.turn()
 
-    def do_news(self, *words):           # a chunk of a line
+    def do_news(self, *words):  # a chunk of a line
         self.do_pending(*words)
         self.turn()
 
-    def do_pending(self, *words):        # the same, not read yet
+    def do_pending(self, *words):  # the same, not read yet
         line = " ".join(words) + "\n"
         for name, where in self.addresses.items():
             line = line.replace(f"@{name}", where)
         self.watches[-1].sendall(f"{len(line):x}\r\n{line}\r\n".encode())
 
-    def do_churns(self, times, zone):    # a second each: a new backend, the one before gone, a stream anew
+    def do_churns(self, times, zone):  # a second each: a new backend, the one before gone, a stream anew
         for k in range(int(times)):
             listed = [(f"churned-{k}", "ready", self.now // 10**6), (f"churned-{k - 1}", "gone", 0)]
-            self.do_news(json.dumps({"index": 100 + k, "snapshot": False, "endpoints": [
-                {"name": name, "address": "127.0.0.1:9", "zone": zone, "status": status, "since_ms": since}
-                for name, status, since in listed]}))
+            self.do_news(
+                json.dumps(
+                    {
+                        "index": 100 + k,
+                        "snapshot": False,
+                        "endpoints": [
+                            {
+                                "name": name,
+                                "address": "127.0.0.1:9",
+                                "zone": zone,
+                                "status": status,
+                                "since_ms": since,
+                            }
+                            for name, status, since in listed
+                        ],
+                    }
+                )
+            )
             self.do_joins("churner", 7, zone)
             self.do_at(f"{(self.now - EPOCH) / 10**9 + 1:.3f}s")
             self.do_hangup("churner")
             self.do_alive("p")
 
-    def do_kept(self, most):             # of anything that is kept by name, stream or time, at most so many
+    def do_kept(self, most):  # of anything that is kept by name, stream or time, at most so many
         service, facade = self.service, self.service.coordinator
-        sizes = {"addresses": service.discovery.addresses, "backends": facade.planner.backends,
-                 "suspects": facade.suspects, "loose": facade.loose, "withdrawn": facade.withdrawn,
-                 "timers": service.loop.timers,
-                 "tasks": service.loop.all, "watched": service.loop.tasks, "wakes": facade.timers,
-                 "connections": service.streams.connections, "strangers": service.streams.strangers,
-                 "marks": facade.planner.channel.turns, "booked": facade.planner.channel.held,
-                 **facade.queues, **facade.tables,
-                 **{f"shut at {proxy}": held.told for proxy, held in facade.proxies.items()}}
+        sizes = {
+            "addresses": service.discovery.addresses,
+            "backends": facade.planner.backends,
+            "suspects": facade.suspects,
+            "loose": facade.loose,
+            "withdrawn": facade.withdrawn,
+            "timers": service.loop.timers,
+            "tasks": service.loop.all,
+            "watched": service.loop.tasks,
+            "wakes": facade.timers,
+            "connections": service.streams.connections,
+            "strangers": service.streams.strangers,
+            "marks": facade.planner.channel.turns,
+            "booked": facade.planner.channel.held,
+            **facade.queues,
+            **facade.tables,
+            **{f"shut at {proxy}": held.told for proxy, held in facade.proxies.items()},
+        }
         over = {name: len(kept) for name, kept in sizes.items() if len(kept) > int(most)}
         assert not over, over
 
-    def do_breaks(self):                 # discovery resets the watch
+    def do_breaks(self):  # discovery resets the watch
         self.watches.pop().close()
         self.turn()
 
@@ -652,5 +747,5 @@
         getattr(self, who).sendto(bytes.fromhex(text) * int(times), self.begin().peers.sock.getsockname())
         self.turn()
 
-    def do_memory(self, most):           # buffers out at most
+    def do_memory(self, most):  # buffers out at most
         assert self.service.streams.pool.out <= int(most), self.service.streams.pool.out
--- a/tests/storm.py
+++ b/tests/storm.py
@@ -3,6 +3,7 @@
 Stand-in proxies hang on one real Coordinator. What each is written is counted frame by frame as it would go
 out, and leaves the channel in order at the pace that the channel has in truth, which may be slower than told.
 After each turn what really waits must be no more than what is booked, and no more than the limit."""
+
 from collections import deque
 
 import orjson
@@ -19,7 +20,7 @@
     lines = parts = 0
     while data:
         size = int.from_bytes(data[:HEAD], "little")
-        part, data = orjson.loads(data[HEAD:HEAD + size]), data[HEAD + size:]
+        part, data = orjson.loads(data[HEAD : HEAD + size]), data[HEAD + size :]
         lines += sum(len(part.get(key, ())) for key in ("lines", "out", "back"))
         lines += sum(key in part for key in ("whole", "level", "ticket"))
         parts += 1
@@ -29,12 +30,24 @@
 class Storm:
     def __init__(self, backends, zones, planners=1, slowed=1.0, **settings):
         self.now, self.slowed, self.due = 100 * SECOND, slowed, None
-        self.settings = {"zones": [f"z{k}" for k in range(zones)], "probes": False, "lines_per_s": 1000.0,
-                         "backlog_limit": 5000.0, "message_head": 3.0, "standing_lines": 5,
-                         "drain_grace": 7 * SECOND, "cold_time": 10 * SECOND, "cold_share": 0.2,
-                         "planners": planners, "admission": "fraction", "classes": [
-                             {"name": "a", "promised_time": SECOND, "benefit": 1.0},
-                             {"name": "b", "promised_time": SECOND, "benefit": 5.0}], **settings}
+        self.settings = {
+            "zones": [f"z{k}" for k in range(zones)],
+            "probes": False,
+            "lines_per_s": 1000.0,
+            "backlog_limit": 5000.0,
+            "message_head": 3.0,
+            "standing_lines": 5,
+            "drain_grace": 7 * SECOND,
+            "cold_time": 10 * SECOND,
+            "cold_share": 0.2,
+            "planners": planners,
+            "admission": "fraction",
+            "classes": [
+                {"name": "a", "promised_time": SECOND, "benefit": 1.0},
+                {"name": "b", "promised_time": SECOND, "benefit": 5.0},
+            ],
+            **settings,
+        }
         self.coordinator = Coordinator(self.settings, 7, self.now)
         self.queue, self.free_at, self.waits = deque(), 0.0, 0  # (leaves at, lines, proxy, mark, written at)
         self.joined, self.holds, self.most, self.answers = {}, {}, 0.0, True
@@ -50,9 +63,23 @@
         return f"z{int(name[1:]) % self.zones}"
 
     def lists(self, form, entries):
-        self.coordinator.report(self.now, "list_news", form=form, entries=[
-            {"backend": name, "zone": self.zone(name), "kind": "k", "cell": 0, "phase": phase, "weight": 1.0,
-             "started": started} for name, phase, started in entries])
+        self.coordinator.report(
+            self.now,
+            "list_news",
+            form=form,
+            entries=[
+                {
+                    "backend": name,
+                    "zone": self.zone(name),
+                    "kind": "k",
+                    "cell": 0,
+                    "phase": phase,
+                    "weight": 1.0,
+                    "started": started,
+                }
+                for name, phase, started in entries
+            ],
+        )
 
     def release(self, count, renamed=True):
         """So many backends are replaced: the old ones drain; or they come back under their names, cold."""
@@ -71,8 +98,9 @@
         if proxy in self.joined:
             self.leave(proxy)
         self.joined[proxy] = f"z{proxy % self.zones}"
-        self.coordinator.report(self.now, "joined", proxy=proxy, zone=self.joined[proxy], standing=standing,
-                                rate=5.0)
+        self.coordinator.report(
+            self.now, "joined", proxy=proxy, zone=self.joined[proxy], standing=standing, rate=5.0
+        )
 
     def leave(self, proxy):
         """Its stream breaks: what waits for it has left the channel, whether that was noticed or not."""
@@ -87,11 +115,26 @@
         for number, name in enumerate(self.ready):
             for zone in set(self.joined.values()):
                 self.coordinator.report(
-                    self.now, "heard", zone=zone, backend=name, tries=tries, failed=int(failed * tries),
-                    mean=self.means[number] if mean is None else mean, window=SECOND, load={})
+                    self.now,
+                    "heard",
+                    zone=zone,
+                    backend=name,
+                    tries=tries,
+                    failed=int(failed * tries),
+                    mean=self.means[number] if mean is None else mean,
+                    window=SECOND,
+                    load={},
+                )
         for kind in ("a", "b"):
-            self.coordinator.report(self.now, "arrivals", proxy=0, grade=kind, number=tries * len(self.ready),
-                                    unanswered=0, window=SECOND)
+            self.coordinator.report(
+                self.now,
+                "arrivals",
+                proxy=0,
+                grade=kind,
+                number=tries * len(self.ready),
+                unanswered=0,
+                window=SECOND,
+            )
 
     def turn(self, ahead=TURN):
         """Ends the turn, writes, and lets the channel run for a while."""
@@ -116,8 +159,7 @@
             _, lines, proxy, mark, since = self.queue.popleft()
             self.waits -= lines
             if self.answers and mark is not None:
-                self.coordinator.report(self.now, "applied", proxy=proxy, serial=mark,
-                                        took=self.now - since)
+                self.coordinator.report(self.now, "applied", proxy=proxy, serial=mark, took=self.now - since)
 
     def _held(self, proxy, order):
         """The table that a proxy holds once it has applied what is on its way; and what it shuts out."""
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -1,4 +1,5 @@
 """The channel's account against what is really written, in storms."""
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -17,7 +18,8 @@
 @pytest.mark.parametrize("proxies, backends, replaced", [(300, 60, 30), (800, 200, 100), (1600, 24, 24)])
 @pytest.mark.parametrize("standing", [True, False])
 def test_shut_outs_to_all_who_wait_to_be_bound_are_booked_as_they_are_written(
-        proxies, backends, replaced, standing):
+    proxies, backends, replaced, standing
+):
     # Booked as likely as a standing table holds one, 46,692 written lines were 13,403 in the account
     storm = Storm(backends, 3, backlog_limit=12000.0, drain_grace=13 * SECOND)
     for proxy in range(proxies):
@@ -78,32 +80,54 @@
         storm.coordinator.report(storm.now, "left", proxy=proxy, silent=True)
     assert channel.waiting == booked > 0
     for proxy in range(10):  # it speaks: the same stream, on which the old orders still are
-        storm.coordinator.report(storm.now, "joined", proxy=proxy, zone="z0", standing=False, rate=1.0,
-                                 again=True)
+        storm.coordinator.report(
+            storm.now, "joined", proxy=proxy, zone="z0", standing=False, rate=1.0, again=True
+        )
     assert channel.waiting >= booked
     for proxy in range(30):
         storm.coordinator.report(storm.now, "left", proxy=proxy)
     assert channel.waiting == 0 and not channel.turns and not channel.held
 
 
-STEPS = st.lists(st.one_of(
-    st.tuples(st.just("join"), st.integers(0, 400), st.integers(1, 200)),
-    st.tuples(st.just("leave"), st.integers(0, 400), st.integers(1, 200)),
-    st.tuples(st.just("release"), st.integers(1, 100), st.booleans()),
-    st.tuples(st.just("gone"), st.integers(1, 40), st.none()),
-    st.tuples(st.just("hear"), st.sampled_from((50, 400, 2000)), st.sampled_from((0.0, 0.3, 1.0))),
-    st.tuples(st.just("run"), st.integers(1, 8), st.none())), min_size=3, max_size=14)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("join"), st.integers(0, 400), st.integers(1, 200)),
+        st.tuples(st.just("leave"), st.integers(0, 400), st.integers(1, 200)),
+        st.tuples(st.just("release"), st.integers(1, 100), st.booleans()),
+        st.tuples(st.just("gone"), st.integers(1, 40), st.none()),
+        st.tuples(st.just("hear"), st.sampled_from((50, 400, 2000)), st.sampled_from((0.0, 0.3, 1.0))),
+        st.tuples(st.just("run"), st.integers(1, 8), st.none()),
+    ),
+    min_size=3,
+    max_size=14,
+)
 
 
 @settings(max_examples=60, deadline=None, derandomize=True)
-@given(STEPS, st.integers(1, 120), st.integers(1, 12), st.sampled_from((60.0, 800.0, 20000.0)),
-       st.sampled_from((1.5, 10.0, 35.0)), st.sampled_from((1.0, 3.0, 10.0)), st.sampled_from((0, 4, 30)))
+@given(
+    STEPS,
+    st.integers(1, 120),
+    st.integers(1, 12),
+    st.sampled_from((60.0, 800.0, 20000.0)),
+    st.sampled_from((1.5, 10.0, 35.0)),
+    st.sampled_from((1.0, 3.0, 10.0)),
+    st.sampled_from((0, 4, 30)),
+)
 def test_what_waits_is_never_more_than_booked_nor_than_the_limit(
-        steps, backends, zones, pace, full, slowed, messages):
+    steps, backends, zones, pace, full, slowed, messages
+):
     limit = max(pace * full, 250.0)
-    storm = Storm(backends, zones, planners=3, slowed=slowed, lines_per_s=pace, backlog_limit=limit,
-                  drain_grace=int((limit / pace + 2) * SECOND), proxies_expected=601,
-                  **{"messages_limit": messages, "messages_span": 10 * SECOND} if messages else {})
+    storm = Storm(
+        backends,
+        zones,
+        planners=3,
+        slowed=slowed,
+        lines_per_s=pace,
+        backlog_limit=limit,
+        drain_grace=int((limit / pace + 2) * SECOND),
+        proxies_expected=601,
+        **{"messages_limit": messages, "messages_span": 10 * SECOND} if messages else {},
+    )
     for what, number, more in steps:
         if what == "join":
             for proxy in range(number, number + more):
--- a/tests/test_full_size.py
+++ b/tests/test_full_size.py
@@ -1,4 +1,5 @@
 """The program at its full size: thousands of streams at once, thousands of names, a start and an end."""
+
 import json
 import os
 import resource
@@ -20,19 +21,48 @@
 
 
 def told(peers, backends, **more):
-    return {"name": "t", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1f",
-            "limits": {"sockets": 16384, "memory_mb": 192}, "peer_listen": "127.0.0.1:0",
-            "peers": [f"127.1.{n // 250}.{n % 250}:7946" for n in range(peers)],
-            "peers_all": "127.1.255.1:7946",
-            "known": {"index": 1, "snapshot": True, "endpoints": [
-                {"name": f"s{n}", "address": f"127.2.{n // 250}.{n % 250}:80", "zone": f"z{n % 3}",
-                 "type": "m", "group": n // 8, "status": "ready", "weight": 1.0, "since_ms": 0}
-                for n in range(backends)]},
-            "settings": {"zones": ["z0", "z1", "z2"], "balancers": peers, "permissions": {"peers": True},
-                         "classes": [{"name": "a", "aim_us": 1000000}],
-                         "family_info": {"egress_per_s": 20000.0, "most_waiting": 400000.0, "envelope": 3.0,
-                                         "proxy_count": 8192, "admit": "fraction"},
-                         "rules": {"stop_sending_within_us": 30000000}}, **more}
+    return {
+        "name": "t",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:9",
+        "seed": "1f",
+        "limits": {"sockets": 16384, "memory_mb": 192},
+        "peer_listen": "127.0.0.1:0",
+        "peers": [f"127.1.{n // 250}.{n % 250}:7946" for n in range(peers)],
+        "peers_all": "127.1.255.1:7946",
+        "known": {
+            "index": 1,
+            "snapshot": True,
+            "endpoints": [
+                {
+                    "name": f"s{n}",
+                    "address": f"127.2.{n // 250}.{n % 250}:80",
+                    "zone": f"z{n % 3}",
+                    "type": "m",
+                    "group": n // 8,
+                    "status": "ready",
+                    "weight": 1.0,
+                    "since_ms": 0,
+                }
+                for n in range(backends)
+            ],
+        },
+        "settings": {
+            "zones": ["z0", "z1", "z2"],
+            "balancers": peers,
+            "permissions": {"peers": True},
+            "classes": [{"name": "a", "aim_us": 1000000}],
+            "family_info": {
+                "egress_per_s": 20000.0,
+                "most_waiting": 400000.0,
+                "envelope": 3.0,
+                "proxy_count": 8192,
+                "admit": "fraction",
+            },
+            "rules": {"stop_sending_within_us": 30000000},
+        },
+        **more,
+    }
 
 
 def test_four_thousand_streams_in_one_instant_are_all_taken_and_bound():
@@ -55,11 +85,24 @@
             with suppress(BlockingIOError):
                 sock.connect(where)
             proxies.append(sock)
-            if number % 512 == 511:   # the system's own queue may be short
+            if number % 512 == 511:  # the system's own queue may be short
                 service.turn(0)
         for number, sock in enumerate(proxies):
-            sock.send(framed([json.dumps({"type": "joined", "node": number, "locality": f"z{number % 3}",
-                                          "w": 1.0, "cold": True})]))
+            sock.send(
+                framed(
+                    [
+                        json.dumps(
+                            {
+                                "type": "joined",
+                                "node": number,
+                                "locality": f"z{number % 3}",
+                                "w": 1.0,
+                                "cold": True,
+                            }
+                        )
+                    ]
+                )
+            )
         planner = service.coordinator.planner
         for _ in range(400):
             now[0] += SECOND // 10
@@ -71,8 +114,11 @@
                     data = sock.recv(1 << 16)
                     assert data, f"{number} was closed"
                     mark = int(data.rpartition(b'"ticket":')[2].partition(b"}")[0])
-                    sock.send(framed([json.dumps({"type": "applied", "node": number, "nonce": mark,
-                                                  "latency": 1.0})]))
+                    sock.send(
+                        framed(
+                            [json.dumps({"type": "applied", "node": number, "nonce": mark, "latency": 1.0})]
+                        )
+                    )
             if len(planner.proxies) == streams and not planner.unbound:
                 break
         assert (len(planner.proxies), len(planner.unbound)) == (streams, 0)
@@ -84,9 +130,12 @@
     path, agent = tmp_path / "config.json", socket.create_server(("127.0.0.1", 0))
     written = told(number, number, discovery="127.0.0.1:{}".format(agent.getsockname()[1]))
     path.write_text(json.dumps(written))
-    process = subprocess.Popen([sys.executable, "-m", "granitespool", "serve", "--config", str(path)],
-                               stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
-                               env={**os.environ, "LB_CONFIG": ""})
+    process = subprocess.Popen(
+        [sys.executable, "-m", "granitespool", "serve", "--config", str(path)],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        env={**os.environ, "LB_CONFIG": ""},
+    )
     try:
         lines = iter(process.stdout.readline, b"")
         assert any(b'"serving"' in line for line in lines)
@@ -108,6 +157,7 @@
 
     def count(frame, event, _):
         made[0] += event == "call"
+
     sys.setprofile(count)
     try:
         call()
@@ -118,8 +168,15 @@
 
 def work_for_a_mark(proxies):
     """Steps for one answer among so many who wait to be bound, with no room to bind one."""
-    storm = Storm(200, 3, lines_per_s=800.0, backlog_limit=28000.0, drain_grace=36 * SECOND,
-                  proxies_expected=proxies, planners=5)
+    storm = Storm(
+        200,
+        3,
+        lines_per_s=800.0,
+        backlog_limit=28000.0,
+        drain_grace=36 * SECOND,
+        proxies_expected=proxies,
+        planners=5,
+    )
     for proxy in range(proxies):
         storm.join(proxy)
     storm.turn(0)
@@ -127,8 +184,9 @@
     channel.limit = channel.waiting
     turn = next(iter(channel.turns.values()))
     proxy = next(iter(turn.lines))
-    return steps(lambda: storm.coordinator.report(
-        storm.now, "applied", proxy=proxy, serial=turn.serial, took=SECOND))
+    return steps(
+        lambda: storm.coordinator.report(storm.now, "applied", proxy=proxy, serial=turn.serial, took=SECOND)
+    )
 
 
 def test_work_for_a_mark_follows_the_proxy_and_not_the_fleet():
--- a/tests/test_gnmi.py
+++ b/tests/test_gnmi.py
@@ -1,4 +1,5 @@
 """gNMI over gRPC on loopback: grpcio as a real client, and peers that misbehave below it."""
+
 import json
 import socket
 import ssl
@@ -28,8 +29,9 @@
     message = pb.Path()
     for part in filter(None, text.split("/")):
         name, _, keys_ = part.partition("[")
-        message.elem.add(name=name, key=dict(pair.split("=") for pair in keys_.rstrip("]").split("][")
-                                             if pair))
+        message.elem.add(
+            name=name, key=dict(pair.split("=") for pair in keys_.rstrip("]").split("][") if pair)
+        )
     return message
 
 
@@ -44,17 +46,27 @@
     def __init__(self, path_, keys_folder, **more):
         super().__init__(path_, keys_folder, **more)
         import msgspec  # noqa: PLC0415
+
         self.gnmi = "127.0.0.1", free_port()
-        self.operator = msgspec.structs.replace(self.operator, gnmi=Gnmi(
-            listen="127.0.0.1:{}".format(self.gnmi[1]), sessions=6, streams=16))
+        self.operator = msgspec.structs.replace(
+            self.operator, gnmi=Gnmi(listen="127.0.0.1:{}".format(self.gnmi[1]), sessions=6, streams=16)
+        )
         self.channels = []
 
     def client(self, user="operations"):
-        read = {name: open(f"{self.keys}/{file}", "rb").read() for name, file in (
-            ("root_certificates", "ca.pem"), ("private_key", f"{user}.key"), ("certificate_chain",
-                                                                              f"{user}.pem"))}
-        channel = grpc.secure_channel("{}:{}".format(*self.gnmi), grpc.ssl_channel_credentials(**read),
-                                      [("grpc.use_local_subchannel_pool", 1)])
+        read = {
+            name: open(f"{self.keys}/{file}", "rb").read()
+            for name, file in (
+                ("root_certificates", "ca.pem"),
+                ("private_key", f"{user}.key"),
+                ("certificate_chain", f"{user}.pem"),
+            )
+        }
+        channel = grpc.secure_channel(
+            "{}:{}".format(*self.gnmi),
+            grpc.ssl_channel_credentials(**read),
+            [("grpc.use_local_subchannel_pool", 1)],
+        )
         self.channels.append(channel)
         return Client(channel)
 
@@ -67,17 +79,25 @@
 class Client:
     def __init__(self, channel):
         def unary(name, kind):
-            return channel.unary_unary(f"/gnmi.gNMI/{name}", lambda message: message.SerializeToString(),
-                                       kind.FromString)
-        self.capabilities, self.get_, self.set_ = (unary("Capabilities", pb.CapabilityResponse),
-                                                   unary("Get", pb.GetResponse), unary("Set", pb.SetResponse))
-        self.subscribe = channel.stream_stream("/gnmi.gNMI/Subscribe",
-                                               lambda message: message.SerializeToString(),
-                                               pb.SubscribeResponse.FromString)
+            return channel.unary_unary(
+                f"/gnmi.gNMI/{name}", lambda message: message.SerializeToString(), kind.FromString
+            )
+
+        self.capabilities, self.get_, self.set_ = (
+            unary("Capabilities", pb.CapabilityResponse),
+            unary("Get", pb.GetResponse),
+            unary("Set", pb.SetResponse),
+        )
+        self.subscribe = channel.stream_stream(
+            "/gnmi.gNMI/Subscribe",
+            lambda message: message.SerializeToString(),
+            pb.SubscribeResponse.FromString,
+        )
 
     def get(self, *texts, encoding=pb.JSON_IETF, kind=pb.GetRequest.ALL, **more):
-        return self.get_(pb.GetRequest(path=map(path, texts), encoding=encoding, type=kind, **more),
-                         timeout=10)
+        return self.get_(
+            pb.GetRequest(path=map(path, texts), encoding=encoding, type=kind, **more), timeout=10
+        )
 
     def value(self, text, **more):
         [update] = self.get(text, **more).notification[0].update
@@ -88,8 +108,11 @@
         request = pb.SetRequest(delete=map(path, parts.get("delete", ())))
         for name in ("replace", "update"):
             for text, value in parts.get(name, {}).items():
-                value = value if isinstance(value, pb.TypedValue) else pb.TypedValue(
-                    json_ietf_val=json.dumps(value).encode())
+                value = (
+                    value
+                    if isinstance(value, pb.TypedValue)
+                    else pb.TypedValue(json_ietf_val=json.dumps(value).encode())
+                )
                 getattr(request, name).add(path=path(text), val=value)
         try:
             self.set_(request, timeout=10)
@@ -100,11 +123,19 @@
 
 
 def listed(*texts, mode=pb.SubscriptionList.STREAM, one=pb.ON_CHANGE, encoding=pb.PROTO, **more):
-    subscription = {key: more.pop(key) for key
-                    in ("sample_interval", "heartbeat_interval", "suppress_redundant")
-                    if key in more}
-    return pb.SubscribeRequest(subscribe=pb.SubscriptionList(mode=mode, encoding=encoding, subscription=[
-        pb.Subscription(path=path(text), mode=one, **subscription) for text in texts], **more))
+    subscription = {
+        key: more.pop(key)
+        for key in ("sample_interval", "heartbeat_interval", "suppress_redundant")
+        if key in more
+    }
+    return pb.SubscribeRequest(
+        subscribe=pb.SubscriptionList(
+            mode=mode,
+            encoding=encoding,
+            subscription=[pb.Subscription(path=path(text), mode=one, **subscription) for text in texts],
+            **more,
+        )
+    )
 
 
 @pytest.fixture
@@ -115,8 +146,11 @@
 
 def test_capabilities_name_the_model_and_its_encodings(house):
     answer = house.client().capabilities(pb.CapabilityRequest(), timeout=10)
-    assert answer.gNMI_version == "0.8.0" and list(answer.supported_encodings) == [pb.JSON, pb.JSON_IETF,
-                                                                                   pb.PROTO]
+    assert answer.gNMI_version == "0.8.0" and list(answer.supported_encodings) == [
+        pb.JSON,
+        pb.JSON_IETF,
+        pb.PROTO,
+    ]
     assert [(each.name, each.version) for each in answer.supported_models] == [("granitespool", "2026-12-01")]
 
 
@@ -133,22 +167,33 @@
     assert set(client.value("/coordinator", kind=pb.GetRequest.STATE)) == {"state"}
     [update] = client.get(BASE, encoding=pb.PROTO).notification[0].update
     assert update.val.double_val == 1000.0
-    [update] = client.get("lines-per-second",
-                          prefix=path("/coordinator/settings/channel")).notification[0].update
+    [update] = (
+        client.get("lines-per-second", prefix=path("/coordinator/settings/channel")).notification[0].update
+    )
     assert text_format.MessageToString(update.path) == text_format.MessageToString(path(BASE))
-    values_ = {each.path.elem[-1].name: each.val.WhichOneof("value") for each in client.get(
-        "/coordinator/state", encoding=pb.PROTO).notification[0].update}
+    values_ = {
+        each.path.elem[-1].name: each.val.WhichOneof("value")
+        for each in client.get("/coordinator/state", encoding=pb.PROTO).notification[0].update
+    }
     assert (values_["named"], values_["index"], values_["let-in"], values_["phase"]) == (
-        "bool_val", "int_val", "double_val", "string_val")
-
-
-@pytest.mark.parametrize("request_, code", [
-    (pb.GetRequest(path=[path("/nothing")]), "INVALID_ARGUMENT"),
-    (pb.GetRequest(path=[path("/coordinator/state/backend[name=none]")]), "NOT_FOUND"),
-    (pb.GetRequest(path=[path("/coordinator/state/backend[colour=red]")]), "INVALID_ARGUMENT"),
-    (pb.GetRequest(path=[path(BASE)], encoding=pb.ASCII), "UNIMPLEMENTED"),
-    (pb.GetRequest(path=[pb.Path(origin="openconfig")]), "INVALID_ARGUMENT"),
-    (pb.GetRequest(path=[path("/a" * 40)]), "INVALID_ARGUMENT")])
+        "bool_val",
+        "int_val",
+        "double_val",
+        "string_val",
+    )
+
+
+@pytest.mark.parametrize(
+    "request_, code",
+    [
+        (pb.GetRequest(path=[path("/nothing")]), "INVALID_ARGUMENT"),
+        (pb.GetRequest(path=[path("/coordinator/state/backend[name=none]")]), "NOT_FOUND"),
+        (pb.GetRequest(path=[path("/coordinator/state/backend[colour=red]")]), "INVALID_ARGUMENT"),
+        (pb.GetRequest(path=[path(BASE)], encoding=pb.ASCII), "UNIMPLEMENTED"),
+        (pb.GetRequest(path=[pb.Path(origin="openconfig")]), "INVALID_ARGUMENT"),
+        (pb.GetRequest(path=[path("/a" * 40)]), "INVALID_ARGUMENT"),
+    ],
+)
 def test_a_get_that_cannot_be_answered_has_the_specifications_code(house, request_, code):
     with pytest.raises(grpc.RpcError) as raised:
         house.client().get_(request_, timeout=10)
@@ -157,16 +202,27 @@
 
 def test_a_set_is_one_transaction_of_deletes_replaces_and_updates_in_this_order(house):
     client = house.client()
-    assert client.set(delete=["/coordinator/settings/drain"], replace={
-        "/coordinator/settings/channel": {"lines-per-second": "500.0", "backlog-limit": 900}}, update={
-        "/coordinator/settings/class[name=pay]": {"benefit": "7"}, BASE: pb.TypedValue(
-            double_val=450.0)}) == "ok"
+    assert (
+        client.set(
+            delete=["/coordinator/settings/drain"],
+            replace={"/coordinator/settings/channel": {"lines-per-second": "500.0", "backlog-limit": 900}},
+            update={
+                "/coordinator/settings/class[name=pay]": {"benefit": "7"},
+                BASE: pb.TypedValue(double_val=450.0),
+            },
+        )
+        == "ok"
+    )
     settings = house.settings()
-    assert (settings["lines_per_s"], settings["backlog_limit"], settings["classes"][0]["benefit"]) == (450,
-                                                                                                       900, 7)
+    assert (settings["lines_per_s"], settings["backlog_limit"], settings["classes"][0]["benefit"]) == (
+        450,
+        900,
+        7,
+    )
     assert "drain_grace" not in settings and "message_head" not in settings
-    assert client.set(delete=["/coordinator/settings/drain",
-                              "/coordinator/settings/channel/admission"]) == "ok"
+    assert (
+        client.set(delete=["/coordinator/settings/drain", "/coordinator/settings/channel/admission"]) == "ok"
+    )
     assert client.set(update={"/": {"granitespool:coordinator": {"settings": {"cold": {"time": 5}}}}}) == "ok"
     assert house.settings()["cold_time"] == 5000
     assert client.set(replace={"/coordinator/settings/zone": ["n", "s", "t"]}) == "ok"
@@ -174,17 +230,22 @@
     house.logged("settings_changed", by="operations", version=2)
 
 
-@pytest.mark.parametrize("parts, code", [
-    ({"update": {BASE: 0}}, "INVALID_ARGUMENT"), ({"update": {BASE: "fast"}}, "INVALID_ARGUMENT"),
-    ({"update": {"/coordinator/state/name": "x"}}, "INVALID_ARGUMENT"),
-    ({"update": {"/coordinator/settings/nope": 1}}, "INVALID_ARGUMENT"),
-    ({"update": {"/coordinator/settings/class": {"benefit": 1}}}, "INVALID_ARGUMENT"),
-    ({"update": {"/coordinator/settings/cold/share": "0.5"}}, "FAILED_PRECONDITION"),
-    ({"update": {"/coordinator/settings/class[name=new]": {}}}, "FAILED_PRECONDITION"),
-    ({"delete": ["/coordinator/settings/class[name=pay]"]}, "FAILED_PRECONDITION"),
-    ({"update": {BASE: pb.TypedValue(json_ietf_val=b"{")}}, "INVALID_ARGUMENT"),
-    ({"update": {BASE: pb.TypedValue(bytes_val=b"x")}}, "INVALID_ARGUMENT"),
-    ({"replace": {"/": {"granitespool:coordinator": {"settings": {}}}}}, "FAILED_PRECONDITION")])
+@pytest.mark.parametrize(
+    "parts, code",
+    [
+        ({"update": {BASE: 0}}, "INVALID_ARGUMENT"),
+        ({"update": {BASE: "fast"}}, "INVALID_ARGUMENT"),
+        ({"update": {"/coordinator/state/name": "x"}}, "INVALID_ARGUMENT"),
+        ({"update": {"/coordinator/settings/nope": 1}}, "INVALID_ARGUMENT"),
+        ({"update": {"/coordinator/settings/class": {"benefit": 1}}}, "INVALID_ARGUMENT"),
+        ({"update": {"/coordinator/settings/cold/share": "0.5"}}, "FAILED_PRECONDITION"),
+        ({"update": {"/coordinator/settings/class[name=new]": {}}}, "FAILED_PRECONDITION"),
+        ({"delete": ["/coordinator/settings/class[name=pay]"]}, "FAILED_PRECONDITION"),
+        ({"update": {BASE: pb.TypedValue(json_ietf_val=b"{")}}, "INVALID_ARGUMENT"),
+        ({"update": {BASE: pb.TypedValue(bytes_val=b"x")}}, "INVALID_ARGUMENT"),
+        ({"replace": {"/": {"granitespool:coordinator": {"settings": {}}}}}, "FAILED_PRECONDITION"),
+    ],
+)
 def test_a_set_that_is_refused_leaves_everything_as_it_was(house, parts, code):
     client, before = house.client(), house.settings()
     parts = {**parts, "update": {"/coordinator/settings/drain/grace": 7, **parts.get("update", {})}}
@@ -213,10 +274,17 @@
 def test_a_set_whose_client_drops_is_whole_or_not_there(house):
     for number in range(8):
         channel = house.client()
-        future = channel.set_.future(pb.SetRequest(update=[
-            pb.Update(path=path(BASE), val=pb.TypedValue(uint_val=500 + number)),
-            pb.Update(path=path("/coordinator/settings/drain/grace"),
-                      val=pb.TypedValue(uint_val=500 + number))]))
+        future = channel.set_.future(
+            pb.SetRequest(
+                update=[
+                    pb.Update(path=path(BASE), val=pb.TypedValue(uint_val=500 + number)),
+                    pb.Update(
+                        path=path("/coordinator/settings/drain/grace"),
+                        val=pb.TypedValue(uint_val=500 + number),
+                    ),
+                ]
+            )
+        )
         time.sleep(0.004 * number)
         house.channels.pop().close()
         del future
@@ -228,8 +296,9 @@
 
 def test_once_and_poll_send_all_and_the_mark(house):
     client = house.client()
-    answers = list(client.subscribe(iter([listed("/coordinator/state/backend/phase",
-                                                 mode=pb.SubscriptionList.ONCE)])))
+    answers = list(
+        client.subscribe(iter([listed("/coordinator/state/backend/phase", mode=pb.SubscriptionList.ONCE)]))
+    )
     assert len(answers[0].update.update) == 6 and answers[-1].sync_response and len(answers) == 2
     polls, gate = [listed(BASE, mode=pb.SubscriptionList.POLL)], threading.Event()
 
@@ -239,6 +308,7 @@
             gate.wait(5)
             gate.clear()
             yield pb.SubscribeRequest(poll=pb.Poll())
+
     answers = client.subscribe(requests())
     for value in (1000.0, 400.0, 400.0):
         assert next(answers).update.update[0].val.double_val == value and next(answers).sync_response
@@ -249,8 +319,9 @@
 
 def test_a_stream_tells_what_changes_and_what_goes(house):
     client = house.client()
-    stream = client.subscribe(iter([listed("/coordinator/settings/channel",
-                                           "/coordinator/state/backend/phase")]))
+    stream = client.subscribe(
+        iter([listed("/coordinator/settings/channel", "/coordinator/state/backend/phase")])
+    )
     seen = []
     while not seen or not seen[-1].sync_response:
         seen.append(next(stream))
@@ -266,29 +337,54 @@
 
 def test_samples_come_in_time_and_heartbeats_repeat_what_is_suppressed(house):
     client = house.client()
-    stream = client.subscribe(iter([listed("/coordinator/state/fleet/strained", one=pb.SAMPLE,
-                                           updates_only=True,
-                                           sample_interval=300_000_000)]))
+    stream = client.subscribe(
+        iter(
+            [
+                listed(
+                    "/coordinator/state/fleet/strained",
+                    one=pb.SAMPLE,
+                    updates_only=True,
+                    sample_interval=300_000_000,
+                )
+            ]
+        )
+    )
     assert next(stream).sync_response
     begun = time.monotonic()
     for _ in range(3):
         assert next(stream).update.update[0].val.bool_val is False
     assert 0.6 < time.monotonic() - begun < 2.5
     stream.cancel()
-    stream = client.subscribe(iter([listed("/coordinator/state/fleet/strained", one=pb.SAMPLE,
-                                           updates_only=True,
-                                           sample_interval=250_000_000, suppress_redundant=True,
-                                           heartbeat_interval=1_000_000_000)]))
+    stream = client.subscribe(
+        iter(
+            [
+                listed(
+                    "/coordinator/state/fleet/strained",
+                    one=pb.SAMPLE,
+                    updates_only=True,
+                    sample_interval=250_000_000,
+                    suppress_redundant=True,
+                    heartbeat_interval=1_000_000_000,
+                )
+            ]
+        )
+    )
     assert next(stream).sync_response
     begun = time.monotonic()
     assert next(stream).update.update and time.monotonic() - begun > 0.7
     stream.cancel()
 
 
-@pytest.mark.parametrize("request_, code", [
-    (pb.SubscribeRequest(), "INVALID_ARGUMENT"), (listed("/nothing"), "INVALID_ARGUMENT"),
-    (listed(*[BASE] * 65), "RESOURCE_EXHAUSTED"), (listed(BASE, encoding=pb.BYTES), "UNIMPLEMENTED"),
-    (listed(BASE, one=pb.SAMPLE, sample_interval=5), "INVALID_ARGUMENT")])
+@pytest.mark.parametrize(
+    "request_, code",
+    [
+        (pb.SubscribeRequest(), "INVALID_ARGUMENT"),
+        (listed("/nothing"), "INVALID_ARGUMENT"),
+        (listed(*[BASE] * 65), "RESOURCE_EXHAUSTED"),
+        (listed(BASE, encoding=pb.BYTES), "UNIMPLEMENTED"),
+        (listed(BASE, one=pb.SAMPLE, sample_interval=5), "INVALID_ARGUMENT"),
+    ],
+)
 def test_a_subscription_that_cannot_be_is_refused(house, request_, code):
     with pytest.raises(grpc.RpcError) as raised:
         list(house.client().subscribe(iter([request_])))
@@ -325,10 +421,14 @@
     def __init__(self, house, folder):
         context = client_context(folder, "operations")
         context.set_alpn_protocols(["h2"])
-        self.sock = context.wrap_socket(socket.create_connection(house.gnmi, timeout=5),
-                                        server_hostname="127.0.0.1")
-        self.h2 = H2Connection(H2Configuration(client_side=True, validate_outbound_headers=False,
-                                               normalize_outbound_headers=False))
+        self.sock = context.wrap_socket(
+            socket.create_connection(house.gnmi, timeout=5), server_hostname="127.0.0.1"
+        )
+        self.h2 = H2Connection(
+            H2Configuration(
+                client_side=True, validate_outbound_headers=False, normalize_outbound_headers=False
+            )
+        )
         self.h2.initiate_connection()
         self.events = []
         self.flush()
@@ -338,11 +438,18 @@
 
     def call(self, method="Subscribe", **more):
         stream = self.h2.get_next_available_stream_id()
-        self.h2.send_headers(stream, [(":method", "POST"), (":scheme", "https"), (":path",
-                                                                                  f"/gnmi.gNMI/{method}"),
-                                      (":authority", "x"), ("content-type", "application/grpc"), ("te",
-                                                                                                  "trailers"),
-                                      *more.get("headers", ())])
+        self.h2.send_headers(
+            stream,
+            [
+                (":method", "POST"),
+                (":scheme", "https"),
+                (":path", f"/gnmi.gNMI/{method}"),
+                (":authority", "x"),
+                ("content-type", "application/grpc"),
+                ("te", "trailers"),
+                *more.get("headers", ()),
+            ],
+        )
         return stream
 
     def until(self, kind, seconds=5):
@@ -399,9 +506,14 @@
     proxy.close()
 
 
-@pytest.mark.parametrize("data, code", [
-    (b"\1\0\0\0\1x", calls.UNIMPLEMENTED), (b"\0\x7f\xff\xff\xff", calls.RESOURCE_EXHAUSTED),
-    (framed(pb.Poll()) * 100, calls.RESOURCE_EXHAUSTED)])
+@pytest.mark.parametrize(
+    "data, code",
+    [
+        (b"\1\0\0\0\1x", calls.UNIMPLEMENTED),
+        (b"\0\x7f\xff\xff\xff", calls.RESOURCE_EXHAUSTED),
+        (framed(pb.Poll()) * 100, calls.RESOURCE_EXHAUSTED),
+    ],
+)
 def test_bodies_out_of_bounds_are_answered_by_a_status(house, folder, data, code):
     raw = Raw(house, folder)
     stream = raw.call()
@@ -418,11 +530,13 @@
     stream = raw.call(headers=[("grpc-timeout", "500m")])
     raw.h2.send_data(stream, framed(listed(BASE))[:-4])
     raw.flush()
-    headers = {key.decode() if isinstance(key, bytes) else key: value
-               for key, value in raw.until(ResponseReceived).headers}
+    headers = {
+        key.decode() if isinstance(key, bytes) else key: value
+        for key, value in raw.until(ResponseReceived).headers
+    }
     assert int(headers["grpc-status"]) == calls.DEADLINE_EXCEEDED
     stalled = Raw(house, folder)
-    for _ in range(8):                             # all of the state, sampled, on windows that nobody opens
+    for _ in range(8):  # all of the state, sampled, on windows that nobody opens
         one = stalled.call()
         stalled.h2.send_data(one, framed(listed("/coordinator", one=pb.SAMPLE, sample_interval=250_000_000)))
     stalled.flush()
@@ -434,7 +548,7 @@
     for session in list(house.service.managing.sessions.values()):
         assert all(len(queue) < 300_000 for queue in session.http2.queued.values())
     for _ in range(40):
-        stalled.call()                             # over the streams that a connection may have
+        stalled.call()  # over the streams that a connection may have
     with pytest.raises(Exception):  # noqa: B017 the server resets or ends
         stalled.flush()
         stalled.until((StreamReset, ConnectionTerminated))
@@ -458,9 +572,11 @@
 def test_what_is_not_grpc_is_answered_415_and_the_connection_goes_on(house, folder):
     raw = Raw(house, folder)
     stream = raw.h2.get_next_available_stream_id()
-    raw.h2.send_headers(stream, [(":method", "GET"), (":scheme", "https"), (":path", "/"),
-                                 (":authority", "x")],
-                        end_stream=True)
+    raw.h2.send_headers(
+        stream,
+        [(":method", "GET"), (":scheme", "https"), (":path", "/"), (":authority", "x")],
+        end_stream=True,
+    )
     raw.flush()
     headers = dict(raw.until(ResponseReceived).headers)
     assert headers.get(b":status", headers.get(":status")) in (b"415", "415")
@@ -470,15 +586,25 @@
     assert raw.until(DataReceived).data
 
 
-@pytest.mark.parametrize("text, found", [
-    ("/coordinator/state/backend[name=a]/phase", ["ready"]), ("/coordinator/*/backend/phase",
-                                                              ["ready", "gone"]),
-    ("/.../phase", ["ready", "gone"]), ("/coordinator/state/backend[name=*]/phase", ["ready", "gone"]),
-    ("/.../backend[name=b]/.../phase", ["gone"]), ("/coordinator/state/none", [])])
+@pytest.mark.parametrize(
+    "text, found",
+    [
+        ("/coordinator/state/backend[name=a]/phase", ["ready"]),
+        ("/coordinator/*/backend/phase", ["ready", "gone"]),
+        ("/.../phase", ["ready", "gone"]),
+        ("/coordinator/state/backend[name=*]/phase", ["ready", "gone"]),
+        ("/.../backend[name=b]/.../phase", ["gone"]),
+        ("/coordinator/state/none", []),
+    ],
+)
 def test_paths_find_what_they_match(text, found):
     from granitespool.gnmi.session import Root  # noqa: PLC0415
     from granitespool.manage.model import Model  # noqa: PLC0415
-    whole = {"coordinator": {"state": {"backend": [{"name": "a", "phase": "ready"},
-                                                   {"name": "b", "phase": "gone"}]}}}
+
+    whole = {
+        "coordinator": {
+            "state": {"backend": [{"name": "a", "phase": "ready"}, {"name": "b", "phase": "gone"}]}
+        }
+    }
     matches = paths.found(Root(Model().top), whole, paths.path_of(pb.Path(), path(text)))
     assert [value for _, _, value in matches] == found
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,4 +1,5 @@
 """The laboratory: the same seed gives the same figures; a restart shows what it is for, at a small size."""
+
 import json
 import os
 from random import Random
@@ -9,8 +10,17 @@
 from granitespool.lab import play, schema
 from granitespool.lab.world import BEGAN, ERROR, MS, SECOND, Backend, World
 
-SMALL = ["sizes=8x20", "seeds=1", "learn_s=15", "settle_s=8", "look_s=6", "service_ms=60", "workers=2",
-         "slow_share=0.4", "failing_share=0"]
+SMALL = [
+    "sizes=8x20",
+    "seeds=1",
+    "learn_s=15",
+    "settle_s=8",
+    "look_s=6",
+    "service_ms=60",
+    "workers=2",
+    "slow_share=0.4",
+    "failing_share=0",
+]
 
 
 @pytest.fixture(scope="module")
@@ -78,9 +88,11 @@
 
 
 def test_the_command_prints_a_table_json_or_a_sentence(capsys, tmp_path):
-    words = ["lab", "run", "restart"] + [word for change
-                                         in [*SMALL, "variants=state", "learn_s=10", "settle_s=3"]
-                                         for word in ("--set", change)]
+    words = ["lab", "run", "restart"] + [
+        word
+        for change in [*SMALL, "variants=state", "learn_s=10", "settle_s=3"]
+        for word in ("--set", change)
+    ]
     assert main(words) == 0
     lines = capsys.readouterr().out.splitlines()
     assert "simulated servers" in lines[0] and lines[1].split()[:4] == ["size", "variant", "tables", "held"]
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -1,4 +1,5 @@
 """The loop, where no scenario reaches it."""
+
 import os
 import threading
 
@@ -14,12 +15,14 @@
         def wake(self):
             seen.wait(5)
             super().wake()
+
     loop.__class__ = Late
 
     def run():
         loop.run(lambda now: now + 1_000_000)
         loop.close()
         seen.set()
+
     thread = threading.Thread(target=run)
     thread.start()
     loop.stop()
@@ -34,7 +37,7 @@
     read, write = os.pipe()
     try:
         os.set_blocking(read, False)
-        taken = [os.dup(write) for _ in range(64)]   # one of them has the bell's number now
+        taken = [os.dup(write) for _ in range(64)]  # one of them has the bell's number now
         assert bell in (read, write, *taken)
         loop.wake()
         loop.close()
@@ -42,7 +45,7 @@
         try:
             assert os.read(read, 100) == b""
         except BlockingIOError:
-            pass                                     # nothing came
+            pass  # nothing came
     finally:
         for fd in (read, write, *taken):
             os.close(fd)
--- a/tests/test_manage.py
+++ b/tests/test_manage.py
@@ -1,4 +1,5 @@
 """The model, edits, datastores, mapping, harm and rights: plain trees in, verdicts out."""
+
 import copy
 
 import pytest
@@ -17,9 +18,11 @@
 
 MODEL = Model()
 NODE = MODEL.settings
-TREE = {"class": [{"name": "pay", "promised-time": "100", "time-limit": "400"}, {"name": "ask"}],
-        "zone": ["n", "s"],
-        "channel": {"lines-per-second": "100.0"}}
+TREE = {
+    "class": [{"name": "pay", "promised-time": "100", "time-limit": "400"}, {"name": "ask"}],
+    "zone": ["n", "s"],
+    "channel": {"lines-per-second": "100.0"},
+}
 
 
 def C(name, *children, op=None, value=None, place=None):  # noqa: N802 as short as a scenario's word
@@ -40,20 +43,28 @@
     return raised.value.tag, raised.value.why
 
 
-@pytest.mark.parametrize("change, expected", [
-    (pay(leaf("benefit", "9.0")), ("class", 0, "benefit", "9.0")),
-    (pay(leaf("benefit", "9.0"), op="replace"), ("class", 0, "promised-time", None)),
-    (pay(op="delete"), ("class", 0, "name", "ask")), (pay(op="remove", name="no"),
-                                                      ("class", 0, "name", "pay")),
-    (pay(name="new"), ("class", 2, "name", "new")),
-    (pay(name="new", place=("first", None)), ("class", 0, "name", "new")),
-    (pay(name="new", place=("before", {"name": "ask"})), ("class", 1, "name", "new")),
-    (pay(place=("after", {"name": "ask"})), ("class", 1, "name", "pay")),
-    (leaf("zone", "x"), ("zone", 2, None, "x")), (leaf("zone", "n", "delete"), ("zone", 0, None, "s")),
-    (C("channel", leaf("message-head", "3.0"), op="replace"), ("channel", None, "lines-per-second", None)),
-    (C("channel", leaf("lines-per-second", None, "remove")), ("channel", None, None, None)),
-    (C("channel", op="delete"), ("channel", None, None, None)),
-    (C("operator", C("state", leaf("folder", "x"))), ("operator", None, "state", {"folder": "x"}))])
+@pytest.mark.parametrize(
+    "change, expected",
+    [
+        (pay(leaf("benefit", "9.0")), ("class", 0, "benefit", "9.0")),
+        (pay(leaf("benefit", "9.0"), op="replace"), ("class", 0, "promised-time", None)),
+        (pay(op="delete"), ("class", 0, "name", "ask")),
+        (pay(op="remove", name="no"), ("class", 0, "name", "pay")),
+        (pay(name="new"), ("class", 2, "name", "new")),
+        (pay(name="new", place=("first", None)), ("class", 0, "name", "new")),
+        (pay(name="new", place=("before", {"name": "ask"})), ("class", 1, "name", "new")),
+        (pay(place=("after", {"name": "ask"})), ("class", 1, "name", "pay")),
+        (leaf("zone", "x"), ("zone", 2, None, "x")),
+        (leaf("zone", "n", "delete"), ("zone", 0, None, "s")),
+        (
+            C("channel", leaf("message-head", "3.0"), op="replace"),
+            ("channel", None, "lines-per-second", None),
+        ),
+        (C("channel", leaf("lines-per-second", None, "remove")), ("channel", None, None, None)),
+        (C("channel", op="delete"), ("channel", None, None, None)),
+        (C("operator", C("state", leaf("folder", "x"))), ("operator", None, "state", {"folder": "x"})),
+    ],
+)
 def test_an_edit_changes_what_it_names_and_leaves_the_former_tree_alone(change, expected):
     before = copy.deepcopy(TREE)
     value = edited(NODE, TREE, [change])
@@ -64,31 +75,48 @@
     assert value == expected[-1]
 
 
-@pytest.mark.parametrize("change, default, tag", [
-    (pay(op="create"), "merge", "data-exists"), (pay(op="delete", name="no"), "merge", "data-missing"),
-    (leaf("zone", "n", "create"), "merge", "data-exists"), (leaf("zone", "x", "delete"), "merge",
-                                                            "data-missing"),
-    (C("channel", leaf("message-head", None, "delete")), "merge", "data-missing"),
-    (C("drain", op="delete"), "merge", "data-missing"), (C("class", leaf("benefit", "1.0")), "merge",
-                                                         "missing-element"),
-    (leaf("nothing", "1"), "merge", "unknown-element"), (pay(op="twist"), "merge", "bad-attribute"),
-    (pay(place=("before", {"name": "no"})), "merge", "bad-attribute"), (pay(name="no"), "none",
-                                                                        "data-missing"),
-    (C("channel", leaf("message-head")), "merge", "missing-element")])
+@pytest.mark.parametrize(
+    "change, default, tag",
+    [
+        (pay(op="create"), "merge", "data-exists"),
+        (pay(op="delete", name="no"), "merge", "data-missing"),
+        (leaf("zone", "n", "create"), "merge", "data-exists"),
+        (leaf("zone", "x", "delete"), "merge", "data-missing"),
+        (C("channel", leaf("message-head", None, "delete")), "merge", "data-missing"),
+        (C("drain", op="delete"), "merge", "data-missing"),
+        (C("class", leaf("benefit", "1.0")), "merge", "missing-element"),
+        (leaf("nothing", "1"), "merge", "unknown-element"),
+        (pay(op="twist"), "merge", "bad-attribute"),
+        (pay(place=("before", {"name": "no"})), "merge", "bad-attribute"),
+        (pay(name="no"), "none", "data-missing"),
+        (C("channel", leaf("message-head")), "merge", "missing-element"),
+    ],
+)
 def test_an_edit_that_cannot_be_is_refused_by_the_rfcs_tag(change, default, tag):
     assert refused(edited, NODE, TREE, [change], default)[0] == tag
 
 
-@pytest.mark.parametrize("part, words", [
-    ({"zone": []}, "at least one zone"), ({"zone": None}, "at least one zone"),
-    ({"channel": {"lines-per-second": "0.0"}}, "lines-per-second"), ({"channel": {"backlog-limit": "5.0"}},
-                                                                     "needs"),
-    ({"channel": {"lines-per-second": 5}}, "decimal64"), ({"cold": {"share": "0.5"}}, "share needs time"),
-    ({"class": [{"name": "a", "promised-time": "5", "time-limit": "4"}]}, "longer than time-limit"),
-    ({"class": [{"name": "a"}, {"name": "a"}]}, "class"), ({"class": [{"benefit": "1.0"}]}, "class"),
-    ({"class": [{"name": "a b"}]}, "name"), ({"operator": {"state": {}}}, "folder"), ({"nope": {}},
-                                                                                      "no such node"),
-    ({"operator": {"state": {"folder": "x", "every-ms": 5000, "oldest-s": "2.0"}}}, "longer than oldest-s")])
+@pytest.mark.parametrize(
+    "part, words",
+    [
+        ({"zone": []}, "at least one zone"),
+        ({"zone": None}, "at least one zone"),
+        ({"channel": {"lines-per-second": "0.0"}}, "lines-per-second"),
+        ({"channel": {"backlog-limit": "5.0"}}, "needs"),
+        ({"channel": {"lines-per-second": 5}}, "decimal64"),
+        ({"cold": {"share": "0.5"}}, "share needs time"),
+        ({"class": [{"name": "a", "promised-time": "5", "time-limit": "4"}]}, "longer than time-limit"),
+        ({"class": [{"name": "a"}, {"name": "a"}]}, "class"),
+        ({"class": [{"benefit": "1.0"}]}, "class"),
+        ({"class": [{"name": "a b"}]}, "name"),
+        ({"operator": {"state": {}}}, "folder"),
+        ({"nope": {}}, "no such node"),
+        (
+            {"operator": {"state": {"folder": "x", "every-ms": 5000, "oldest-s": "2.0"}}},
+            "longer than oldest-s",
+        ),
+    ],
+)
 def test_a_tree_that_the_module_does_not_allow_is_refused_in_one_sentence(part, words):
     tree = {**TREE, **part}
     tag, why = refused(MODEL.check, {key: value for key, value in tree.items() if value is not None})
@@ -102,11 +130,18 @@
 
 
 def told(**settings):
-    return {"settings": {"zones": ["n", "s"], "classes": [{"name": "pay", "promised_time": 100_000,
-                                                           "odd": 1}],
-                         "lines_per_s": 100.123456789, "message_head": 3, "drain_grace": 3 * 10**9,
-                         "index": 4,
-                         **settings}, "operator": Operator(state=State(folder="x", half_life_s=12.5))}
+    return {
+        "settings": {
+            "zones": ["n", "s"],
+            "classes": [{"name": "pay", "promised_time": 100_000, "odd": 1}],
+            "lines_per_s": 100.123456789,
+            "message_head": 3,
+            "drain_grace": 3 * 10**9,
+            "index": 4,
+            **settings,
+        },
+        "operator": Operator(state=State(folder="x", half_life_s=12.5)),
+    }
 
 
 def test_a_configuration_and_its_tree_map_to_each_other_and_what_is_not_changed_keeps_its_value():
@@ -114,9 +149,15 @@
         tree = mapping.tree_of(each)
         MODEL.check(tree)
         assert mapping.config_of(tree, each) == each
-    tree = edited(NODE, mapping.tree_of(told()), [
-        C("drain", leaf("grace", "5000000")), pay(leaf("benefit", "2.0")),
-        C("operator", C("state", leaf("every-ms", 250)))])
+    tree = edited(
+        NODE,
+        mapping.tree_of(told()),
+        [
+            C("drain", leaf("grace", "5000000")),
+            pay(leaf("benefit", "2.0")),
+            C("operator", C("state", leaf("every-ms", 250))),
+        ],
+    )
     new = mapping.config_of(tree, told())
     assert new["settings"]["drain_grace"] == 5 * 10**9 and new["settings"]["lines_per_s"] == 100.123456789
     assert new["settings"]["classes"] == [{"name": "pay", "promised_time": 100_000, "odd": 1, "benefit": 2}]
@@ -125,12 +166,20 @@
     assert "drain_grace" not in gone["settings"] and gone["operator"].state is None
 
 
-@pytest.mark.parametrize("change, proxies, waits, words", [
-    ({"classes": []}, 0, (), "without a class"), ({"zones": ["n"]}, 0, (), "zone s have joined"),
-    ({"lines_per_s": 1}, 10, (), "one drain takes 50.0 s for 10 proxies"),
-    ({"backlog_limit": 30}, 10, (), "more than the backlog"), ({}, 0, ("classes",), "put it into startup"),
-    ({"limits": 2048}, 0, (), "sockets is over the 1024"), ({"limits": 512}, 0, (), None),
-    ({"lines_per_s": 1}, 0, (), None), ({"backlog_limit": 60}, 10, (), None)])
+@pytest.mark.parametrize(
+    "change, proxies, waits, words",
+    [
+        ({"classes": []}, 0, (), "without a class"),
+        ({"zones": ["n"]}, 0, (), "zone s have joined"),
+        ({"lines_per_s": 1}, 10, (), "one drain takes 50.0 s for 10 proxies"),
+        ({"backlog_limit": 30}, 10, (), "more than the backlog"),
+        ({}, 0, ("classes",), "put it into startup"),
+        ({"limits": 2048}, 0, (), "sockets is over the 1024"),
+        ({"limits": 512}, 0, (), None),
+        ({"lines_per_s": 1}, 0, (), None),
+        ({"backlog_limit": 60}, 10, (), None),
+    ],
+)
 def test_a_change_that_would_do_harm_is_refused(change, proxies, waits, words):
     limits = {"sockets": change.pop("limits", 1024)}
     new = {**told(**change), "limits": limits, "limits_told": {"sockets": 1024}}
@@ -140,15 +189,26 @@
     return None
 
 
-CERTIFICATE = {"subject": ((("commonName", "ops"),),), "subjectAltName": (("DNS", "a.example"), ("email",
-                                                                                                 "a@b"),
-                                                                          ("URI", "urn:x"), ("IP Address",
-                                                                                             "::1"))}
-
-
-@pytest.mark.parametrize("certificate, found", [
-    ("cn:ops", True), ("cn:OPS", False), ("dns:a.example", True), ("dns:ops", False), ("email:a@b", True),
-    ("uri:urn:x", True), ("sha256:AB:CD", True), ("sha256:abce", False), ("dns:::1", False)])
+CERTIFICATE = {
+    "subject": ((("commonName", "ops"),),),
+    "subjectAltName": (("DNS", "a.example"), ("email", "a@b"), ("URI", "urn:x"), ("IP Address", "::1")),
+}
+
+
+@pytest.mark.parametrize(
+    "certificate, found",
+    [
+        ("cn:ops", True),
+        ("cn:OPS", False),
+        ("dns:a.example", True),
+        ("dns:ops", False),
+        ("email:a@b", True),
+        ("uri:urn:x", True),
+        ("sha256:AB:CD", True),
+        ("sha256:abce", False),
+        ("dns:::1", False),
+    ],
+)
 def test_a_user_is_known_by_one_thing_of_its_certificate(certificate, found):
     user = rights.User("u", certificate, True, "class, zone")
     assert (rights.user_of([user], rights.facts_of(CERTIFICATE, "abcd")) is user) == found
@@ -262,10 +322,20 @@
     s.stores.lock("a", CANDIDATE)
 
 
-@pytest.mark.parametrize("end, pace", [("confirm", "5.0"), ("time", "100.0"), ("closed", "100.0"),
-                                       ("cancel", "100.0"),
-                                       ("persist", "5.0"), ("persist closed", "5.0"), ("again", "6.0"),
-                                       ("again time", "100.0"), ("closed while busy", "100.0")])
+@pytest.mark.parametrize(
+    "end, pace",
+    [
+        ("confirm", "5.0"),
+        ("time", "100.0"),
+        ("closed", "100.0"),
+        ("cancel", "100.0"),
+        ("persist", "5.0"),
+        ("persist closed", "5.0"),
+        ("again", "6.0"),
+        ("again time", "100.0"),
+        ("closed while busy", "100.0"),
+    ],
+)
 def test_a_confirmed_commit_stands_or_is_undone(end, pace):
     s = Stores()
     s.edit("a", "5.0")
@@ -312,8 +382,10 @@
     s.edit("a", "5.0", STARTUP)
     assert s.pace(STARTUP) == "5.0" and s.pace() == "100.0"
     s.stores.delete("a", STARTUP)
-    assert s.pace(STARTUP) == "100.0" and refused(s.stores.delete, "a",
-                                                  CANDIDATE)[0] == "operation-not-supported"
+    assert (
+        s.pace(STARTUP) == "100.0"
+        and refused(s.stores.delete, "a", CANDIDATE)[0] == "operation-not-supported"
+    )
     assert refused(s.edit, "a", "5.0", RUNNING)[0] == "operation-not-supported"
     s.stores.copy("a", CANDIDATE, {**TREE, "zone": ["n"]})
     assert s.commit("a") == "ok" and s.stores.tree(RUNNING)["zone"] == ["n"]
@@ -322,8 +394,16 @@
 def test_a_picture_is_what_the_module_allows():
     class Some:
         def pictured_fleet(self):
-            return {"joined": 2, "unbound": 1, "waiting": -3, "lag": 5000, "strained": True, "room": 0.5,
-                    "through": 1.2, "tables": [("n", 2, {"pay": (0.5, 1)}), ("s", 0, {})]}
+            return {
+                "joined": 2,
+                "unbound": 1,
+                "waiting": -3,
+                "lag": 5000,
+                "strained": True,
+                "room": 0.5,
+                "through": 1.2,
+                "tables": [("n", 2, {"pay": (0.5, 1)}), ("s", 0, {})],
+            }
 
         def listed(self):
             return {"a": None, "b": None, "gone": None}
@@ -332,14 +412,26 @@
             facts = {"phase": "ready", "zone": "n", "kind": None, "proven": name == "a"}
             seen = {"n": (0.0, 1e20, name == "a", False), "s": (2.0, None, False, 0)}
             return None if name == "gone" else (facts, seen)
-    picture = Picture(Some(), {"name": "c", "version": 1, "commits": 0, "refused": 0, "index": 3,
-                               "named": True,
-                               "folder": (7, 2, False), "age": 5000})
+
+    picture = Picture(
+        Some(),
+        {
+            "name": "c",
+            "version": 1,
+            "commits": 0,
+            "refused": 0,
+            "index": 3,
+            "named": True,
+            "folder": (7, 2, False),
+            "age": 5000,
+        },
+    )
     assert len(list(picture.steps())) >= 1
     outs = [view.get("out") for each in picture.tree["backend"] for view in each["seen-from"]]
     assert outs == ["cut", None, "unproven", None]
     instance = MODEL.data.from_raw({"granitespool:coordinator": {"state": picture.tree}})
     from yangson.enumerations import ContentType  # noqa: PLC0415
+
     instance.validate(ctype=ContentType.all)
 
 
@@ -362,11 +454,15 @@
 
     @rule(who=WHO, pace=PACES, test=st.sampled_from(["set", "test-then-set", "test-only"]))
     def edit(self, who, pace, test):
-        self._try(self.s.stores.edit, who, CANDIDATE, [C("channel", leaf("lines-per-second", pace))],
-                  "merge", test)
-
-    @rule(who=WHO, store=st.sampled_from([RUNNING, CANDIDATE, STARTUP]),
-          verb=st.sampled_from(["lock", "unlock"]))
+        self._try(
+            self.s.stores.edit, who, CANDIDATE, [C("channel", leaf("lines-per-second", pace))], "merge", test
+        )
+
+    @rule(
+        who=WHO,
+        store=st.sampled_from([RUNNING, CANDIDATE, STARTUP]),
+        verb=st.sampled_from(["lock", "unlock"]),
+    )
     def lock(self, who, store, verb):
         self._try(getattr(self.s.stores, verb), who, store)
 
@@ -423,6 +519,7 @@
         assert (stores.busy is not None) == bool(self.s.host.asked)
 
 
-Several.TestCase.settings = hypothesis_settings(max_examples=60, stateful_step_count=40, deadline=None,
-                                                derandomize=True)
+Several.TestCase.settings = hypothesis_settings(
+    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
+)
 TestSeveral = Several.TestCase
--- a/tests/test_netconf.py
+++ b/tests/test_netconf.py
@@ -1,4 +1,5 @@
 """NETCONF over TLS on loopback: usual sessions, sessions that are dropped, bad peers, and ncclient."""
+
 import os
 import re
 import signal
@@ -36,6 +37,7 @@
 
 # Framing and XML
 
+
 @pytest.mark.parametrize("size", [1, 2, 3, 7, 100_000])
 @pytest.mark.parametrize("chunked", [False, True])
 def test_messages_come_out_whole_however_their_bytes_arrive(chunked, size):
@@ -43,7 +45,7 @@
     reader.chunked = chunked
     data = b"".join(framed(message, chunked) for message in (b"<a/>", b"<b>]] ></b>", b"<c/>"))
     for at in range(0, len(data), size):
-        reader.feed(data[at:at + size])
+        reader.feed(data[at : at + size])
         got += reader.messages()
     assert got == [b"<a/>", b"<b>]] ></b>", b"<c/>"]
 
@@ -55,11 +57,19 @@
     assert list(reader.messages()) == [b"<a/><b/>", b"<c/>"]
 
 
-@pytest.mark.parametrize("chunked, data, words", [
-    (False, b"x" * 1100, "over 1000"), (True, b"hello", "does not begin"), (True, b"\n#x\n", "the length"),
-    (True, b"\n#0\n", "the length"), (True, b"\n#9999999999\n", "the length"), (True, b"\n#1001\n",
-                                                                                "over 1000"),
-    (True, b"\n#600\n" + b"x" * 600 + b"\n#600\n", "over 1000"), (True, b"\n#11111111111111", "no end")])
+@pytest.mark.parametrize(
+    "chunked, data, words",
+    [
+        (False, b"x" * 1100, "over 1000"),
+        (True, b"hello", "does not begin"),
+        (True, b"\n#x\n", "the length"),
+        (True, b"\n#0\n", "the length"),
+        (True, b"\n#9999999999\n", "the length"),
+        (True, b"\n#1001\n", "over 1000"),
+        (True, b"\n#600\n" + b"x" * 600 + b"\n#600\n", "over 1000"),
+        (True, b"\n#11111111111111", "no end"),
+    ],
+)
 def test_bytes_that_are_no_frame_are_told(chunked, data, words):
     reader = Reader(1000)
     reader.chunked = chunked
@@ -68,11 +78,20 @@
         list(reader.messages())
 
 
-@pytest.mark.parametrize("data, words", [
-    (b"<a", "not XML"), (b"", "not XML"), (b'<!DOCTYPE a [<!ENTITY x "y">]><a>&x;</a>', "DTD"),
-    (b'<!DOCTYPE a SYSTEM "file:///etc/hostname"><a/>', "DTD"), (b"<a>" * 70 + b"</a>" * 70, "over 64 deep"),
-    (b"<a>" + b"<b/>" * 50_001 + b"</a>", "elements"), (b"<a>&lol;</a>", "not XML"), (b"\xff\xfe", "not XML"),
-    ('<!DOCTYPE a [<!ENTITY x "y">]><a>&x;</a>'.encode("utf-16"), "DTD")])
+@pytest.mark.parametrize(
+    "data, words",
+    [
+        (b"<a", "not XML"),
+        (b"", "not XML"),
+        (b'<!DOCTYPE a [<!ENTITY x "y">]><a>&x;</a>', "DTD"),
+        (b'<!DOCTYPE a SYSTEM "file:///etc/hostname"><a/>', "DTD"),
+        (b"<a>" * 70 + b"</a>" * 70, "over 64 deep"),
+        (b"<a>" + b"<b/>" * 50_001 + b"</a>", "elements"),
+        (b"<a>&lol;</a>", "not XML"),
+        (b"\xff\xfe", "not XML"),
+        ('<!DOCTYPE a [<!ENTITY x "y">]><a>&x;</a>'.encode("utf-16"), "DTD"),
+    ],
+)
 def test_xml_out_of_bounds_is_refused(data, words):
     with pytest.raises(Malformed, match=words):
         parsed(data)
@@ -80,6 +99,7 @@
 
 # Usual sessions
 
+
 @pytest.mark.parametrize("minor", [0, 1])
 def test_both_framings_read_the_state_and_commit_a_change_that_acts(house, minor):
     one = house.manager(minor=minor)
@@ -94,7 +114,7 @@
     assert "<version>2</version>" in one.ask("<get/>")
     ages = []
     for index in (1, 1, 2):
-        house.service.discovery.index = index      # as a message of the list sets it, in a turn
+        house.service.discovery.index = index  # as a message of the list sets it, in a turn
         house.service.loop.wake()
         time.sleep(0.25)
         ages.append(int(re.search(r"<age>(\d+)<", one.ask("<get/>"))[1]))
@@ -110,27 +130,36 @@
         one.receive()
 
 
-@pytest.mark.parametrize("body, tag", [
-    ("<nothing/>", "operation-not-supported"), ("<get-config/>", "missing-element"),
-    ("<get-config><source><url>x</url></source></get-config>", "operation-not-supported"),
-    ("<get-config><source><nowhere/></source></get-config>", "bad-element"),
-    ("<edit-config><target><candidate/></target></edit-config>", "missing-element"),
-    ("<edit-config><target><running/></target><config/></edit-config>", "operation-not-supported"),
-    ("<commit><confirmed/><confirm-timeout>x</confirm-timeout></commit>", "invalid-value"),
-    ("<commit><persist-id>x</persist-id></commit>", "invalid-value"), ("<cancel-commit/>",
-                                                                       "operation-failed"),
-    ("<unlock><target><running/></target></unlock>", "operation-failed"),
-    ("<kill-session><session-id>77</session-id></kill-session>", "invalid-value"),
-    ("<delete-config><target><running/></target></delete-config>", "operation-not-supported"),
-    ("<get><filter type='regex'/></get>", "bad-attribute"), ("<get><filter type='xpath'/></get>",
-                                                             "missing-attribute"),
-    ("<get><filter type='xpath' select='//['/></get>", "invalid-value"),
-    ("<get><filter type='xpath' select='1+1'/></get>", "invalid-value"), ("<get/><get/>",
-                                                                          "malformed-message"),
-    ("<edit-config><target><candidate/></target><test-option>maybe</test-option><config/></edit-config>",
-     "invalid-value"),
-    ("<edit-config><target><candidate/></target><config><other xmlns='urn:x'/></config></edit-config>",
-     "unknown-namespace")])
+@pytest.mark.parametrize(
+    "body, tag",
+    [
+        ("<nothing/>", "operation-not-supported"),
+        ("<get-config/>", "missing-element"),
+        ("<get-config><source><url>x</url></source></get-config>", "operation-not-supported"),
+        ("<get-config><source><nowhere/></source></get-config>", "bad-element"),
+        ("<edit-config><target><candidate/></target></edit-config>", "missing-element"),
+        ("<edit-config><target><running/></target><config/></edit-config>", "operation-not-supported"),
+        ("<commit><confirmed/><confirm-timeout>x</confirm-timeout></commit>", "invalid-value"),
+        ("<commit><persist-id>x</persist-id></commit>", "invalid-value"),
+        ("<cancel-commit/>", "operation-failed"),
+        ("<unlock><target><running/></target></unlock>", "operation-failed"),
+        ("<kill-session><session-id>77</session-id></kill-session>", "invalid-value"),
+        ("<delete-config><target><running/></target></delete-config>", "operation-not-supported"),
+        ("<get><filter type='regex'/></get>", "bad-attribute"),
+        ("<get><filter type='xpath'/></get>", "missing-attribute"),
+        ("<get><filter type='xpath' select='//['/></get>", "invalid-value"),
+        ("<get><filter type='xpath' select='1+1'/></get>", "invalid-value"),
+        ("<get/><get/>", "malformed-message"),
+        (
+            "<edit-config><target><candidate/></target><test-option>maybe</test-option><config/></edit-config>",
+            "invalid-value",
+        ),
+        (
+            "<edit-config><target><candidate/></target><config><other xmlns='urn:x'/></config></edit-config>",
+            "unknown-namespace",
+        ),
+    ],
+)
 def test_what_cannot_be_done_is_answered_by_the_rfcs_tag_and_the_session_goes_on(house, body, tag):
     one = house.manager()
     answer = one.ask(body)
@@ -138,15 +167,23 @@
     assert tag_of(one.ask("<get/>", "")) == "missing-attribute"
 
 
-@pytest.mark.parametrize("settings, tag, path", [
-    (PACE.format("0"), "invalid-value", "/gs:channel/gs:lines-per-second"),
-    (PACE.format("many"), "invalid-value", "lines-per-second"), ("<cold><share>0.5</share></cold>",
-                                                                 "operation-failed", "cold"),
-    ("<class><name>pay</name><promised-time>9000000</promised-time></class>", "operation-failed", "class"),
-    ("<class><benefit>1</benefit></class>", "missing-element", "settings"), ("<none/>", "unknown-element",
-                                                                             "settings"),
-    ("<channel><channel/></channel>", "unknown-element", "channel"),
-    ("<zone>n</zone><zone xmlns='urn:x'>q</zone>", "unknown-namespace", "settings")])
+@pytest.mark.parametrize(
+    "settings, tag, path",
+    [
+        (PACE.format("0"), "invalid-value", "/gs:channel/gs:lines-per-second"),
+        (PACE.format("many"), "invalid-value", "lines-per-second"),
+        ("<cold><share>0.5</share></cold>", "operation-failed", "cold"),
+        (
+            "<class><name>pay</name><promised-time>9000000</promised-time></class>",
+            "operation-failed",
+            "class",
+        ),
+        ("<class><benefit>1</benefit></class>", "missing-element", "settings"),
+        ("<none/>", "unknown-element", "settings"),
+        ("<channel><channel/></channel>", "unknown-element", "channel"),
+        ("<zone>n</zone><zone xmlns='urn:x'>q</zone>", "unknown-namespace", "settings"),
+    ],
+)
 def test_an_edit_that_is_wrong_is_refused_with_its_path_and_nothing_of_it_stays(house, settings, tag, path):
     one, before = house.manager(), None
     before = one.config("candidate")
@@ -155,12 +192,18 @@
     assert tag_of(one.commit()) == "ok" and house.settings()["drain_grace"] == 3 * 10**9
 
 
-@pytest.mark.parametrize("settings, words", [
-    ("<class><name>new</name></class>", "classes cannot change while the coordinator runs"),
-    ("<operator><state><folder>x</folder></state></operator>", "state.folder cannot change"),
-    (PACE.format("0.5"), "one drain takes"),
-    ("<zone xmlns:nc='urn:ietf:params:xml:ns:netconf:base:1.0' nc:operation='delete'>n</zone>",
-     "zone n have joined")])
+@pytest.mark.parametrize(
+    "settings, words",
+    [
+        ("<class><name>new</name></class>", "classes cannot change while the coordinator runs"),
+        ("<operator><state><folder>x</folder></state></operator>", "state.folder cannot change"),
+        (PACE.format("0.5"), "one drain takes"),
+        (
+            "<zone xmlns:nc='urn:ietf:params:xml:ns:netconf:base:1.0' nc:operation='delete'>n</zone>",
+            "zone n have joined",
+        ),
+    ],
+)
 def test_a_commit_that_would_do_harm_is_refused_and_the_old_settings_run_on(house, settings, words):
     proxy, one, before = house.proxy(), house.manager(), house.settings()
     assert tag_of(one.edit(settings)) == "ok"
@@ -173,9 +216,13 @@
 
 def test_filters_choose_by_subtree_and_by_xpath(house):
     one = house.manager()
+
     def state(inner):
-        return one.ask('<get><filter><coordinator xmlns="urn:granitespool:coordinator">'
-                       f"{inner}</coordinator></filter></get>")
+        return one.ask(
+            '<get><filter><coordinator xmlns="urn:granitespool:coordinator">'
+            f"{inner}</coordinator></filter></get>"
+        )
+
     assert state("<state><backend><name>s-2</name></backend></state>").count("<backend>") == 1
     answer = state("<state><backend><name>s-2</name><phase/></backend></state>")
     assert "<phase>" in answer and "<seen-from>" not in answer and "s-3" not in answer
@@ -185,8 +232,10 @@
     assert "<strained>" in state("<state><fleet/></state>")
     assert "coordinator" not in state("<state><backend><name>none</name></backend></state>")
     assert state("<settings><zone/></settings><state><fleet/></state>").count("<zone>") == 2
-    xpath = one.ask("<get><filter type='xpath' xmlns:g='urn:granitespool:coordinator' "
-                    "select=\"/g:coordinator/g:state/g:backend[g:name='s-4']/g:phase\"/></get>")
+    xpath = one.ask(
+        "<get><filter type='xpath' xmlns:g='urn:granitespool:coordinator' "
+        "select=\"/g:coordinator/g:state/g:backend[g:name='s-4']/g:phase\"/></get>"
+    )
     assert xpath.count("<phase>") == 1 and "<name>" not in xpath and "<fleet>" not in xpath
     assert "<data/>" in one.ask("<get><filter/></get>")
 
@@ -194,30 +243,60 @@
 def test_schema_defaults_copies_and_startup(tmp_path, folder):
     with House(tmp_path, folder, state=True) as house:
         one = house.manager()
-        schema = one.ask('<get-schema xmlns="urn:ietf:params:xml:ns:yang:ietf-netconf-monitoring">'
-                         '<identifier>granitespool'
-                         "</identifier></get-schema>")
+        schema = one.ask(
+            '<get-schema xmlns="urn:ietf:params:xml:ns:yang:ietf-netconf-monitoring">'
+            "<identifier>granitespool"
+            "</identifier></get-schema>"
+        )
         assert "module granitespool {" in schema
-        assert tag_of(one.ask('<get-schema xmlns="urn:ietf:params:xml:ns:yang:ietf-netconf-monitoring">'
-                              '<identifier>x'
-                              "</identifier></get-schema>")) == "invalid-value"
-        assert tag_of(one.edit("<operator><state xmlns:nc='urn:ietf:params:xml:ns:netconf:base:1.0'>"
-                               "<most-mb nc:operation="
-                               "'delete'/></state></operator>")) == "ok"
-        all_of_it = ('<with-defaults xmlns="urn:ietf:params:xml:ns:yang:ietf-netconf-with-defaults">'
-                     "report-all"
-                     "</with-defaults>")
-        assert "most-mb" not in one.config("candidate") and "<most-mb>64<" in one.config("candidate",
-                                                                                         all_of_it)
+        assert (
+            tag_of(
+                one.ask(
+                    '<get-schema xmlns="urn:ietf:params:xml:ns:yang:ietf-netconf-monitoring">'
+                    "<identifier>x"
+                    "</identifier></get-schema>"
+                )
+            )
+            == "invalid-value"
+        )
+        assert (
+            tag_of(
+                one.edit(
+                    "<operator><state xmlns:nc='urn:ietf:params:xml:ns:netconf:base:1.0'>"
+                    "<most-mb nc:operation="
+                    "'delete'/></state></operator>"
+                )
+            )
+            == "ok"
+        )
+        all_of_it = (
+            '<with-defaults xmlns="urn:ietf:params:xml:ns:yang:ietf-netconf-with-defaults">'
+            "report-all"
+            "</with-defaults>"
+        )
+        assert "most-mb" not in one.config("candidate") and "<most-mb>64<" in one.config(
+            "candidate", all_of_it
+        )
         assert tag_of(one.edit("<class><name>late</name></class>", "startup")) == "ok"
         assert "<failing>false</failing>" in one.ask("<get/>")
         assert "late" in one.config("startup") and "late" not in one.config()
-        assert tag_of(one.ask("<copy-config><target><startup/></target><source><running/></source>"
-                              "</copy-config>")) == "ok"
+        assert (
+            tag_of(
+                one.ask("<copy-config><target><startup/></target><source><running/></source></copy-config>")
+            )
+            == "ok"
+        )
         assert "late" not in one.config("startup")
         whole = top("<zone>n</zone><zone>s</zone><class><name>pay</name></class>")
-        assert tag_of(one.ask(f"<copy-config><target><candidate/></target><source><config>{whole}"
-                              "</config></source></copy-config>")) == "ok"
+        assert (
+            tag_of(
+                one.ask(
+                    f"<copy-config><target><candidate/></target><source><config>{whole}"
+                    "</config></source></copy-config>"
+                )
+            )
+            == "ok"
+        )
         assert "promised-time" not in one.config("candidate")
         assert tag_of(one.ask("<validate><source><candidate/></source></validate>")) == "operation-failed"
         assert tag_of(one.ask("<discard-changes/>")) == "ok" and one.config("candidate") == one.config()
@@ -235,6 +314,7 @@
 
 # Two at once, and sessions that end
 
+
 def test_two_managers_and_a_reload_cannot_overtake_one_another(house):
     one, two = house.manager(), house.manager()
     assert tag_of(one.lock()) == "ok"
@@ -266,8 +346,10 @@
 @pytest.mark.parametrize("how", ["reset", "close"])
 def test_a_session_dropped_at_any_step_leaves_nothing_half_applied(house, step, how):
     watcher = house.manager()
-    before, stores = house.settings(), {name: watcher.config(name) for name
-                                        in ("running", "candidate", "startup")}
+    before, stores = (
+        house.settings(),
+        {name: watcher.config(name) for name in ("running", "candidate", "startup")},
+    )
     one = house.manager(greet=step != "hello")
     if step == "hello":
         one.raw(framed(HELLO.format(1).encode(), False)[:-3])
@@ -314,6 +396,7 @@
         calls.append(config)
         if len(calls) == 1:
             raise RuntimeError("a part that cannot")
+
     real, probes.new_config = probes.new_config, fails
     one.edit(PACE.format("500"))
     answer = one.commit()
@@ -321,7 +404,7 @@
     assert len(calls) == 2 and calls[1]["settings"] == before
     probes.new_config = real
     assert tag_of(one.commit()) == "ok" and house.settings()["lines_per_s"] == 500
-    house.logged("failed")                   # read by then: the log has a thread of its own
+    house.logged("failed")  # read by then: the log has a thread of its own
     house.lines[:] = [line for line in house.lines if line["event"] != "failed"]
 
 
@@ -333,9 +416,17 @@
     one.commit()
     assert "<version>2</version>" in two.note("settings-changed")
     for _ in range(2):
-        house.service.coordinator.report(house.service.loop.now, "heard", zone="n", backend="s-1", tries=9,
-                                         failed=9,
-                                         mean=0, window=10**9, load={})
+        house.service.coordinator.report(
+            house.service.loop.now,
+            "heard",
+            zone="n",
+            backend="s-1",
+            tries=9,
+            failed=9,
+            mean=0,
+            window=10**9,
+            load={},
+        )
     assert "<backend>s-1</backend>" in two.note("backend-cut")
     one.edit(PACE.format("0.1"))
     proxy = house.proxy()
@@ -353,17 +444,31 @@
 
 # What outlasts a restart
 
+
 def test_a_commit_is_answered_after_its_sync_and_outlasts_sigkill(tmp_path, folder):
     house = House(tmp_path, folder, state=True)
     operator = tmp_path / "operator.ini"
-    operator.write_text(f"[state]\nfolder = state\nevery_ms = 100\n[tls]\ncertificate = {folder}/server.pem\n"
-                        f"key = {folder}/server.key\nauthorities = {folder}/ca.pem\n"
-                        "[netconf]\nlisten = 127.0.0.1:"
-                        f"{house.where[1]}\n[user.operations]\ncertificate = cn:operations\nwrite = *\n")
+    operator.write_text(
+        f"[state]\nfolder = state\nevery_ms = 100\n[tls]\ncertificate = {folder}/server.pem\n"
+        f"key = {folder}/server.key\nauthorities = {folder}/ca.pem\n"
+        "[netconf]\nlisten = 127.0.0.1:"
+        f"{house.where[1]}\n[user.operations]\ncertificate = cn:operations\nwrite = *\n"
+    )
     for pace in ("1000.0", "500.0", "400.0"):
-        process = subprocess.Popen([sys.executable, "-m", "granitespool", "serve", "--config",
-                                    str(house.file),
-                                    "--operator", str(operator)], stdout=subprocess.PIPE, text=True)
+        process = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "granitespool",
+                "serve",
+                "--config",
+                str(house.file),
+                "--operator",
+                str(operator),
+            ],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
         try:
             for line in iter(process.stdout.readline, ""):
                 if '"serving"' in line:
@@ -373,10 +478,10 @@
             following = {"1000.0": "500.0", "500.0": "400.0"}.get(pace, "300.0")
             assert tag_of(one.edit(PACE.format(following))) == "ok" and tag_of(one.commit()) == "ok"
         finally:
-            process.send_signal(signal.SIGKILL)    # at once after the answer
+            process.send_signal(signal.SIGKILL)  # at once after the answer
             process.communicate()
     house.write(family_info={**house.reading["family_info"], "egress_per_s": 900.0})
-    with house:                                    # the file has changed since: it holds
+    with house:  # the file has changed since: it holds
         assert house.settings()["lines_per_s"] == 900.0
         house.logged("settings_dropped")
 
@@ -408,18 +513,19 @@
         house.service.keeper.writer.folder.sync = lambda name: time.sleep(0.6)
         answer = one.commit()
         assert tag_of(answer) == "resource-denied" and house.settings()["lines_per_s"] == 1000
-        two = house.manager()                      # two that wait for the disk are both answered
+        two = house.manager()  # two that wait for the disk are both answered
         one.send("<commit/>")
         assert tag_of(two.edit("<class><name>late</name></class>", "startup")) == "resource-denied"
         assert tag_of(one.receive()) == "resource-denied"
         writer = house.service.keeper.writer
-    writer.thread.join(10)                         # this process held the folder for as long as its disk hung
+    writer.thread.join(10)  # this process held the folder for as long as its disk hung
     with House(tmp_path, folder, state=True) as house:  # what was refused does not come back with a restart
         assert house.settings()["lines_per_s"] == 1000 and len(house.settings()["classes"]) == 1
 
 
 # Bad peers
 
+
 def bad(where, folder, how):
     """A peer that is no manager; returns once it has done its worst."""
     if how in ("no certificate", "foreign", "stranger"):
@@ -461,14 +567,30 @@
     one.close()
 
 
-@pytest.mark.parametrize("how", ["no certificate", "foreign", "stranger", "plain", "garbage", "tls 1.2",
-                                 "hello",
-                                 "no hello", "endless", "laughs", "deep", "disorder", "flood"])
+@pytest.mark.parametrize(
+    "how",
+    [
+        "no certificate",
+        "foreign",
+        "stranger",
+        "plain",
+        "garbage",
+        "tls 1.2",
+        "hello",
+        "no hello",
+        "endless",
+        "laughs",
+        "deep",
+        "disorder",
+        "flood",
+    ],
+)
 def test_a_bad_peer_is_ended_and_nobody_else_notices(house, folder, how, tmp_path):
     proxy, one = house.proxy(), house.manager()
     others = keys(tmp_path / "others") if how == "foreign" else folder
-    if how == "foreign":                           # trusted by nobody here, under a name that is
+    if how == "foreign":  # trusted by nobody here, under a name that is
         import shutil  # noqa: PLC0415
+
         shutil.copy(f"{folder}/ca.pem", f"{others}/ca.pem")
         for ending in ("pem", "key"):
             shutil.copy(f"{others}/operations.{ending}", f"{others}/foreign.{ending}")
@@ -481,6 +603,7 @@
     import datetime  # noqa: PLC0415
 
     from granitespool.cli import keys as made  # noqa: PLC0415
+
     with open(f"{folder}/ca.key", "rb") as file:
         authority_key = made.serialization.load_pem_private_key(file.read(), None)
     with open(f"{folder}/ca.pem", "rb") as file:
@@ -488,8 +611,9 @@
     key = made.ec.generate_private_key(made.ec.SECP256R1())
 
     past = datetime.datetime.now(datetime.timezone.utc) - datetime.timedelta(days=9)
-    old = made._certificate("operations", key, 5, authority, authority_key,
-                            made.ExtendedKeyUsageOID.CLIENT_AUTH, [], past)
+    old = made._certificate(
+        "operations", key, 5, authority, authority_key, made.ExtendedKeyUsageOID.CLIENT_AUTH, [], past
+    )
     (tmp_path / "ca.pem").write_bytes(authority.public_bytes(made.serialization.Encoding.PEM))
     (tmp_path / "old.pem").write_bytes(old.public_bytes(made.serialization.Encoding.PEM))
     (tmp_path / "old.key").write_bytes(made._key_bytes(key))
@@ -526,9 +650,18 @@
 
 
 def test_a_reader_that_stops_costs_no_turn_and_no_memory(tmp_path, folder):
-    known = [{"name": f"s-{k:04}", "address": "127.0.0.1:9", "zone": "n", "type": "m", "status": "ready",
-              "weight": 1.0,
-              "since_ms": 0} for k in range(800)]
+    known = [
+        {
+            "name": f"s-{k:04}",
+            "address": "127.0.0.1:9",
+            "zone": "n",
+            "type": "m",
+            "status": "ready",
+            "weight": 1.0,
+            "since_ms": 0,
+        }
+        for k in range(800)
+    ]
     with House(tmp_path, folder, known=known) as house:
         proxy, one, two = house.proxy(), house.manager(), house.manager()
         for _ in range(14):
@@ -561,13 +694,21 @@
 
 # A real client
 
+
 def test_ncclient_reads_commits_is_refused_and_finds_nothing_half_applied(house, folder):
     with ncclient_manager.connect_tls(
-            host=house.where[0], port=house.where[1], keyfile=f"{folder}/operations.key",
-            certfile=f"{folder}/operations.pem", ca_certs=f"{folder}/ca.pem", server_hostname="127.0.0.1",
-            protocol=ssl.PROTOCOL_TLS_CLIENT) as client:
+        host=house.where[0],
+        port=house.where[1],
+        keyfile=f"{folder}/operations.key",
+        certfile=f"{folder}/operations.pem",
+        ca_certs=f"{folder}/ca.pem",
+        server_hostname="127.0.0.1",
+        protocol=ssl.PROTOCOL_TLS_CLIENT,
+    ) as client:
+
         def edit(settings):
             client.edit_config(target="candidate", config=f'<config xmlns="{BASE}">{top(settings)}</config>')
+
         assert client.get().xml.count("<backend>") == 6
         with client.locked("candidate"):
             edit("<class><name>pay</name><benefit>7.5</benefit></class>")
@@ -575,8 +716,10 @@
             client.commit()
         assert house.settings()["classes"][0]["benefit"] == 7.5
         before = client.get_config("running").xml
-        for settings, tag in ((PACE.format("0"), "invalid-value"),
-                              ("<class><name>x</name></class>", "operation-failed")):
+        for settings, tag in (
+            (PACE.format("0"), "invalid-value"),
+            ("<class><name>x</name></class>", "operation-failed"),
+        ):
             with pytest.raises(RPCError) as refused:
                 edit("<drain><grace>9</grace></drain>" + settings)
                 client.commit()
