--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -1,4 +1,5 @@
 """The operator's settings, the experiments' files, and the command line: each refusal is one sentence."""
+
 import os
 
 import pytest
@@ -12,23 +13,34 @@
 STATE = "[state]\nfolder = /var/x\n"
 
 
-@pytest.mark.parametrize("text, words", [
-    ("[stat]\n", "the section [stat] is unknown; the nearest known name is state"),
-    ("[zzz]\n", "the section [zzz] is unknown; known are state, tls, netconf, gnmi"),
-    ("[DEFAULT]\nfolder = x\n", "[DEFAULT] is unknown"),
-    ("[state]\n", "[state] lacks folder"), ("[state]\nfolder =\n", "[state] folder is ''"),
-    (STATE + "every = 5\n", "[state] every is unknown; the nearest known name is every_ms"),
-    (STATE + "every_ms = fast\n",
-     "[state] every_ms is 'fast', where a whole number from 100 to 600000 would do"),
-    (STATE + "every_ms = 1.5\n", "a whole number"), (STATE + "every_ms = 99\n", "from 100"),
-    (STATE + "most_mb = -1\n", "[state] most_mb is '-1'"), (STATE + "half_life_s = nan\n",
-                                                            "half_life_s is 'nan'"),
-    (STATE + "half_life_s = inf\n", "half_life_s is 'inf'"), (STATE + "oldest_s = 1e9\n", "from 1 to 604800"),
-    (STATE + "every_ms = 5000\noldest_s = 2\n", "every_ms is longer than oldest_s"),
-    (STATE + "folder = y\n", "[state] folder stands twice, the second time in line 3"),
-    (STATE + STATE, "[state] stands twice"), ("folder = x\n", "line 1 stands before any [section]"),
-    ("[state]\nfolder\n", "line 2 is no 'key = value'"), ("[state\nfolder = x", "line 1"),
-    ("[state]\nEvery_ms = 500\nfolder = x\n", "Every_ms is unknown")])
+@pytest.mark.parametrize(
+    "text, words",
+    [
+        ("[stat]\n", "the section [stat] is unknown; the nearest known name is state"),
+        ("[zzz]\n", "the section [zzz] is unknown; known are state, tls, netconf, gnmi"),
+        ("[DEFAULT]\nfolder = x\n", "[DEFAULT] is unknown"),
+        ("[state]\n", "[state] lacks folder"),
+        ("[state]\nfolder =\n", "[state] folder is ''"),
+        (STATE + "every = 5\n", "[state] every is unknown; the nearest known name is every_ms"),
+        (
+            STATE + "every_ms = fast\n",
+            "[state] every_ms is 'fast', where a whole number from 100 to 600000 would do",
+        ),
+        (STATE + "every_ms = 1.5\n", "a whole number"),
+        (STATE + "every_ms = 99\n", "from 100"),
+        (STATE + "most_mb = -1\n", "[state] most_mb is '-1'"),
+        (STATE + "half_life_s = nan\n", "half_life_s is 'nan'"),
+        (STATE + "half_life_s = inf\n", "half_life_s is 'inf'"),
+        (STATE + "oldest_s = 1e9\n", "from 1 to 604800"),
+        (STATE + "every_ms = 5000\noldest_s = 2\n", "every_ms is longer than oldest_s"),
+        (STATE + "folder = y\n", "[state] folder stands twice, the second time in line 3"),
+        (STATE + STATE, "[state] stands twice"),
+        ("folder = x\n", "line 1 stands before any [section]"),
+        ("[state]\nfolder\n", "line 2 is no 'key = value'"),
+        ("[state\nfolder = x", "line 1"),
+        ("[state]\nEvery_ms = 500\nfolder = x\n", "Every_ms is unknown"),
+    ],
+)
 def test_a_wrong_file_is_one_sentence_with_file_section_and_key(tmp_path, capsys, monkeypatch, text, words):
     path = tmp_path / "operator.ini"
     path.write_text(text)
@@ -40,8 +52,9 @@
     assert capsys.readouterr().err == f"granitespool: {raised.value}\n"
 
 
-@pytest.mark.parametrize("data, words", [(b"\xff\xfe[state]", "byte 0 is not UTF-8"),
-                                         (b"x" * (1 << 20) + b"y", "over")])
+@pytest.mark.parametrize(
+    "data, words", [(b"\xff\xfe[state]", "byte 0 is not UTF-8"), (b"x" * (1 << 20) + b"y", "over")]
+)
 def test_a_file_that_is_no_text_is_one_sentence(tmp_path, data, words):
     path = tmp_path / "operator.ini"
     path.write_bytes(data)
@@ -64,9 +77,10 @@
     with open(EXAMPLE) as file:
         lines = file.read().splitlines()
     assert operator.load(EXAMPLE) == operator.Operator()
-    on = "\n".join(line[1:] if line[:2] in ("#[",) or line[:1] == "#" and "=" in line
-                   and line[1:2] != " " else line
-                   for line in lines)
+    on = "\n".join(
+        line[1:] if line[:2] in ("#[",) or line[:1] == "#" and "=" in line and line[1:2] != " " else line
+        for line in lines
+    )
     path = tmp_path / "on.ini"
     path.write_text(on)
     read = operator.load(str(path))
@@ -83,11 +97,18 @@
     assert operator.restart_names(None, one) == ["state.folder"] and operator.restart_names(one, same) == []
 
 
-@pytest.mark.parametrize("words, sentence", [
-    (["serv"], "there is no command 'serv'"), (["--nope"], "there is no option '--nope'"),
-    (["check", "--config"], "fits no line of the usage"), (["state", "show"], "fits no line"),
-    (["state", "shred", "x"], "fits no line"), (["lab", "run"], "fits no line"),
-    (["version", "twice"], "fits no line")])
+@pytest.mark.parametrize(
+    "words, sentence",
+    [
+        (["serv"], "there is no command 'serv'"),
+        (["--nope"], "there is no option '--nope'"),
+        (["check", "--config"], "fits no line of the usage"),
+        (["state", "show"], "fits no line"),
+        (["state", "shred", "x"], "fits no line"),
+        (["lab", "run"], "fits no line"),
+        (["version", "twice"], "fits no line"),
+    ],
+)
 def test_a_wrong_call_is_a_sentence_then_the_usage_and_ends_with_2(capsys, recwarn, words, sentence):
     assert main(words) == 2
     out, err = capsys.readouterr()
@@ -101,10 +122,19 @@
     assert "GRANITESPOOL_OPERATOR" in capsys.readouterr().out
 
 
-@pytest.mark.parametrize("change, words", [
-    ("load", "no KEY=VALUE"), ("nope=1", "no section has this key"), ("load=x", "[fleet] load is 'x'"),
-    ("seeds=0", "seeds is '0'"), ("sizes=30", "30x150"), ("variants=now", "variants names 'now'"),
-    ("fleet.nope=1", "nope is unknown"), ("kind=flood", "kind is 'flood', where one of restart would do")])
+@pytest.mark.parametrize(
+    "change, words",
+    [
+        ("load", "no KEY=VALUE"),
+        ("nope=1", "no section has this key"),
+        ("load=x", "[fleet] load is 'x'"),
+        ("seeds=0", "seeds is '0'"),
+        ("sizes=30", "30x150"),
+        ("variants=now", "variants names 'now'"),
+        ("fleet.nope=1", "nope is unknown"),
+        ("kind=flood", "kind is 'flood', where one of restart would do"),
+    ],
+)
 def test_a_wrong_key_of_an_experiment_is_one_sentence(change, words):
     with pytest.raises(BadInput) as raised:
         schema.load("restart", [change])
@@ -116,8 +146,11 @@
     path = tmp_path / "mine.ini"
     path.write_text("[experiment]\nkind = restart\ntitle = mine\n[class.pay]\nbenefit = 9\n")
     setup = schema.load(str(path), ["restart.down_s=3", "sizes=4x6"])
-    assert (setup.restart.down_s, setup.classes["pay"].benefit, setup.experiment.size_pairs()) == (3, 9,
-                                                                                                   [(4, 6)])
+    assert (setup.restart.down_s, setup.classes["pay"].benefit, setup.experiment.size_pairs()) == (
+        3,
+        9,
+        [(4, 6)],
+    )
     assert main(["lab", "run", "nothing"]) == 1 and "restart come with the program" in capsys.readouterr().err
     assert main(["lab", "list"]) == 0 and "restart" in capsys.readouterr().out
     with pytest.raises(BadInput, match="lacks the section"):
--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -1,4 +1,5 @@
 """What is owed in the instant in which something ends: real processes with real signals, and the loop."""
+
 import errno
 import json
 import os
@@ -94,6 +95,7 @@
 
 # Start
 
+
 @pytest.fixture
 def reading(tmp_path):
     """A process that is just reading its configuration, which it gets through a pipe."""
@@ -198,6 +200,7 @@
 
 # SIGTERM
 
+
 def test_a_stream_ends_in_good_order_after_what_was_ordered_though_bytes_of_it_were_not_read(tmp_path):
     # A close over bytes that were not read is a reset, and takes with it what the other has not read yet
     where = f"127.0.0.1:{free_port()}"
@@ -208,12 +211,13 @@
             event(it, "joined")
             sock.sendall(framed(['{"type":"ping"}']))
             while b"pong" not in sock.recv(1 << 16, socket.MSG_PEEK):
-                pass                               # it was written; it stays unread here
+                pass  # it was written; it stays unread here
             it.send_signal(signal.SIGSTOP)
 
-            def floods():                          # far more than is read in one turn
+            def floods():  # far more than is read in one turn
                 with suppress(OSError):
                     sock.sendall(framed(['{"type":"odd"}']) * 200_000)
+
             flood = threading.Thread(target=floods)
             flood.start()
             it.send_signal(signal.SIGTERM)
@@ -232,10 +236,11 @@
         joins(sock, service)
         real = service.loop.turn
 
-        def turn(end_of_turn, wait):               # a second passes by the quarter of LINGER
+        def turn(end_of_turn, wait):  # a second passes by the quarter of LINGER
             turns.append(wait)
             now[0] += LINGER // 4
             real(end_of_turn, 0)
+
         service.loop.turn = turn
         service.stop()
         service.run()
@@ -257,9 +262,10 @@
         real = service.coordinator.tick
 
         def tick(now):
-            service.stop()                         # as a handler does, in the middle of it
+            service.stop()  # as a handler does, in the middle of it
             service.coordinator.weigh(0, "s1", 7.5)
             return real(now)
+
         service.coordinator.tick = tick
         service.run()
         assert b'["s1",7.5]' in to_the_end(sock)
@@ -288,20 +294,21 @@
 
 
 def test_the_last_lines_wait_for_a_reader_that_is_slow(monkeypatch):
-    monkeypatch.setattr(logging, "LAST", LONG)     # not on this machine's speed
+    monkeypatch.setattr(logging, "LAST", LONG)  # not on this machine's speed
     read, write = os.pipe()
     service = Service(config.checked(HERE), write)
     os.set_blocking(read, False)
     for _ in range(1000):
         service.log.event("remark", text="a-word-" * 20)
     service.log.flush()
-    assert service.log.waiting                     # the pipe is full now
+    assert service.log.waiting  # the pipe is full now
     got = []
 
     def reader():
         os.set_blocking(read, True)
         while data := os.read(read, 1 << 16):
             got.append(data)
+
     thread = threading.Thread(target=reader)
     thread.start()
     service.close()
@@ -313,6 +320,7 @@
 
 # The loop
 
+
 def pairs(stack, number):
     return [[stack.enter_context(each) for each in socket.socketpair()] for _ in range(number)]
 
@@ -339,6 +347,7 @@
         def other(sock):
             yield sock.fileno(), IN, None
             met.append("the ended one ran")
+
         loop.spawn(one(first))
         two = loop.spawn(other(second))
         tells_first.send(b"x")
@@ -355,12 +364,13 @@
 
         def waits(sock):
             met.append((yield sock.fileno(), IN, 10**18 + SECOND))
+
         both = pairs(stack, 400)
         for mine, _ in both:
             loop.spawn(waits(mine))
         real, late = loop.epoll, []
 
-        class Stopped:                             # the process is stopped with few events in its hand
+        class Stopped:  # the process is stopped with few events in its hand
             def poll(self, *words):
                 if late:
                     return real.poll(*words)
@@ -373,6 +383,7 @@
 
             def __getattr__(self, name):
                 return getattr(real, name)
+
         for _, other in both[:2]:
             other.send(b"x")
         loop.epoll = Stopped()
@@ -393,6 +404,7 @@
     def ends():
         loop.end(task)
         yield None, 0, None
+
     task = loop.spawn(torn())
     other = loop.spawn(ends())
     assert [type(error) for error in failed] == [KeyError] and other in loop.all and task not in loop.all
@@ -409,6 +421,7 @@
         def waits():
             met.append((yield mine.fileno(), IN, 10**18 + SECOND))
             met.append((yield mine.fileno(), 0, 10**18 + 9 * SECOND))
+
         loop.spawn(waits())
         other.send(b"x")
         loop.turn(lambda now: None, 0)
@@ -456,12 +469,22 @@
 @pytest.mark.parametrize("name", NAMES)
 def test_any_text_names_a_zone_and_a_class(tmp_path, name):
     now, data = [10**18], b""
-    named = {"zones": [name], "classes": [{"name": name, "aim_us": 1000000, "worth": 1}],
-             "family_info": {"proxy_count": 4, "admit": "fraction"}}
+    named = {
+        "zones": [name],
+        "classes": [{"name": name, "aim_us": 1000000, "worth": 1}],
+        "family_info": {"proxy_count": 4, "admit": "fraction"},
+    }
     with serving(tmp_path, lambda: now[0], settings=named) as service, dialled(service.where) as sock:
         joins(sock, service, name)
-        sock.sendall(framed([json.dumps({"type": "usage", "node": 1, "route": name, "total": 5, "errors": 0,
-                                         "interval": 1000})]))
+        sock.sendall(
+            framed(
+                [
+                    json.dumps(
+                        {"type": "usage", "node": 1, "route": name, "total": 5, "errors": 0, "interval": 1000}
+                    )
+                ]
+            )
+        )
         sock.setblocking(False)
         for _ in range(20):
             now[0] += SECOND // 10
@@ -473,15 +496,21 @@
     assert not any(word in text for word in ("failed", "remark", "dropped"))
 
 
-@pytest.mark.parametrize("change, words", [
-    ({"settings": {"zones": ["n", ["m"]]}}, "name a zone"), ({"settings": {"zones": [None]}}, "name a zone"),
-    ({"settings": {"zones": ["n", "n"]}}, "the zone 'n' twice"),
-    ({"settings": {"zones": ["n"], "classes": [{}]}}, "name a class None"),
-    ({"settings": {"zones": ["n"], "classes": [{"name": {}}]}}, "name a class"),
-    ({"settings": {"zones": ["n"], "classes": [{"name": "a"}, {"name": "a"}]}}, "the class 'a' twice"),
-    ({"settings": {"zones": ["n"], "family_info": {"most_waiting": 0}}}, "may hold no line"),
-    ({"limits": {"sockets": 0}}, "no room to serve"), ({"limits": {"sockets": 24}}, "no room to serve"),
-    ({"limits": {"memory_mb": 0}}, "no room to serve")])
+@pytest.mark.parametrize(
+    "change, words",
+    [
+        ({"settings": {"zones": ["n", ["m"]]}}, "name a zone"),
+        ({"settings": {"zones": [None]}}, "name a zone"),
+        ({"settings": {"zones": ["n", "n"]}}, "the zone 'n' twice"),
+        ({"settings": {"zones": ["n"], "classes": [{}]}}, "name a class None"),
+        ({"settings": {"zones": ["n"], "classes": [{"name": {}}]}}, "name a class"),
+        ({"settings": {"zones": ["n"], "classes": [{"name": "a"}, {"name": "a"}]}}, "the class 'a' twice"),
+        ({"settings": {"zones": ["n"], "family_info": {"most_waiting": 0}}}, "may hold no line"),
+        ({"limits": {"sockets": 0}}, "no room to serve"),
+        ({"limits": {"sockets": 24}}, "no room to serve"),
+        ({"limits": {"memory_mb": 0}}, "no room to serve"),
+    ],
+)
 def test_what_cannot_be_served_is_refused_in_one_sentence(change, words):
     with pytest.raises(BadInput, match=words):
         config.checked({**told(1, 3), **change})
@@ -489,8 +518,15 @@
 
 def test_a_reload_takes_another_deployments_settings_whole_and_names_what_waits(tmp_path):
     channel = {"egress_per_s": 50.0, "most_waiting": 100.0, "proxy_count": 9}
-    there = {**HERE, "settings": {"zones": ["x", "y"], "classes": [{"name": "other"}], "balancers": 3,
-                                  "family_info": channel}}
+    there = {
+        **HERE,
+        "settings": {
+            "zones": ["x", "y"],
+            "classes": [{"name": "other"}],
+            "balancers": 3,
+            "family_info": channel,
+        },
+    }
     with serving(tmp_path) as service, serving(tmp_path) as beside:
         service.reread = lambda: config.checked(there)
         service.reload()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,4 +1,5 @@
 """One runner for all scenarios, and the adapter's plain words on bad input."""
+
 import io
 import json
 import os
@@ -14,13 +15,16 @@
 from granitespool import wirehost
 from granitespool.cli import main
 
-SCENARIOS = [(path.stem, *block.partition("\n")[::2])
-             for path in sorted((pathlib.Path(__file__).parent / "scenarios").glob("*.txt"))
-             for block in path.read_text().split("== ")[1:]]
+SCENARIOS = [
+    (path.stem, *block.partition("\n")[::2])
+    for path in sorted((pathlib.Path(__file__).parent / "scenarios").glob("*.txt"))
+    for block in path.read_text().split("== ")[1:]
+]
 
 
-@pytest.mark.parametrize("file, text", [
-    pytest.param(file, text, id=f"{file}: {name}") for file, name, text in SCENARIOS])
+@pytest.mark.parametrize(
+    "file, text", [pytest.param(file, text, id=f"{file}: {name}") for file, name, text in SCENARIOS]
+)
 def test_scenario(file, text):
     stage = {"facade": Desk, "sockets": Sockets}.get(file, Stage)()
     try:
@@ -31,17 +35,31 @@
         stage.end()
 
 
-@pytest.mark.parametrize("told, words", [
-    (None, "names no file"), ("/nowhere/at/all", "cannot be read"), ("{", "not JSON"),
-    ("[]", "not an object"),
-    ("{}", "'settings'"), ({"listen": "x"}, "not an address"), ({"listen": "a:99999"}, "not an address"),
-    ({"seed": "xyz"}, "not in hex"), ({"settings": None}, "'settings'"),
-    ({"settings": {"classes": {"a": 1}}}, "'classes'"),
-    ({"settings": {"rules": {"cold_us": "long"}}}, "rules.cold_us"), ({"limits": 5}, "limits"),
-    ({"settings": {"family_info": {"egress_per_s": "fast"}}}, "egress_per_s"), ({"known": 5}, "'known'"),
-    ({"settings": {"family_info": {"egress_per_s": 0}}}, "no pace"), ({"peers": 5}, "another type"),
-    ({"limits": {"sockets": "many"}}, "'sockets'"), ({"settings": {"zones": 5}}, "'zones'"),
-    ({"known": {"index": 1}}, "'endpoints'"), ("taken", "in use")])
+@pytest.mark.parametrize(
+    "told, words",
+    [
+        (None, "names no file"),
+        ("/nowhere/at/all", "cannot be read"),
+        ("{", "not JSON"),
+        ("[]", "not an object"),
+        ("{}", "'settings'"),
+        ({"listen": "x"}, "not an address"),
+        ({"listen": "a:99999"}, "not an address"),
+        ({"seed": "xyz"}, "not in hex"),
+        ({"settings": None}, "'settings'"),
+        ({"settings": {"classes": {"a": 1}}}, "'classes'"),
+        ({"settings": {"rules": {"cold_us": "long"}}}, "rules.cold_us"),
+        ({"limits": 5}, "limits"),
+        ({"settings": {"family_info": {"egress_per_s": "fast"}}}, "egress_per_s"),
+        ({"known": 5}, "'known'"),
+        ({"settings": {"family_info": {"egress_per_s": 0}}}, "no pace"),
+        ({"peers": 5}, "another type"),
+        ({"limits": {"sockets": "many"}}, "'sockets'"),
+        ({"settings": {"zones": 5}}, "'zones'"),
+        ({"known": {"index": 1}}, "'endpoints'"),
+        ("taken", "in use"),
+    ],
+)
 def test_a_wrong_configuration_is_one_sentence(monkeypatch, capsys, tmp_path, told, words):
     taken = socket.create_server(("127.0.0.1", 0))
     if told == "taken":
@@ -60,8 +78,12 @@
 def test_a_process_serves_until_sigterm(tmp_path):
     path = tmp_path / "config.json"
     path.write_text(json.dumps(CONFIG))
-    with subprocess.Popen([sys.executable, "-m", "granitespool", "serve", "--config", path], text=True,
-                          stdout=subprocess.PIPE, stderr=subprocess.PIPE) as process:
+    with subprocess.Popen(
+        [sys.executable, "-m", "granitespool", "serve", "--config", path],
+        text=True,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    ) as process:
         assert any('"serving"' in line for line in iter(process.stdout.readline, ""))
         for text, words in (("{", "reload_refused"), (json.dumps(CONFIG), "reloaded"), ("", "not JSON")):
             path.write_text(text)
@@ -73,11 +95,22 @@
     assert process.returncode == 0 and err == "" and '"stopped"' in out
 
 
-CONFIG = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1f",
-          "settings": {"zones": ["n"]}}
+CONFIG = {
+    "name": "n0",
+    "listen": "127.0.0.1:0",
+    "discovery": "127.0.0.1:9",
+    "seed": "1f",
+    "settings": {"zones": ["n"]},
+}
 START = {"type": "start", "coordinator": 0, "entropy": 1, "settings": {"zones": ["n"], "unknown": 1}}
-LIST = {"type": "backends_changed", "coordinator": 0, "form": "restored", "serial": 0, "new_key": 2,
-        "rows_in": [{"backend": "a:1", "zone": "n", "phase": "live", "weight": None, "since_us": None}]}
+LIST = {
+    "type": "backends_changed",
+    "coordinator": 0,
+    "form": "restored",
+    "serial": 0,
+    "new_key": 2,
+    "rows_in": [{"backend": "a:1", "zone": "n", "phase": "live", "weight": None, "since_us": None}],
+}
 JOIN = {"type": "connected", "coordinator": 0, "agent": 3, "zone": "n", "flag": True, "weight": None}
 LEFT = {"type": "left", "coordinator": 0, "agent": 3}
 BROKEN = {"type": "tick_due", "coordinator": 0, "cookie": 5}
@@ -93,19 +126,34 @@
     return json.dumps({"t_us": 5, "items": items})
 
 
-@pytest.mark.parametrize("line, words", [
-    ("hello", "not JSON"), ("[]", "not a batch"), ('{"t_us":1}', "not a batch"), ('{"items":[]}', "'t_us'"),
-    (batch({"type": "left"}), "'coordinator'"), (batch(START, {"type": "left", "coordinator": 0}), "'agent'"),
-    (batch(START, BROKEN), "'cookie'"), (batch({"type": "odd", "coordinator": 0}), "unknown type"),
-    (batch(START, {**LIST, "rows_in": [{"zone": "n"}]}), "'backend'"), (batch(3), "not an object")])
+@pytest.mark.parametrize(
+    "line, words",
+    [
+        ("hello", "not JSON"),
+        ("[]", "not a batch"),
+        ('{"t_us":1}', "not a batch"),
+        ('{"items":[]}', "'t_us'"),
+        (batch({"type": "left"}), "'coordinator'"),
+        (batch(START, {"type": "left", "coordinator": 0}), "'agent'"),
+        (batch(START, BROKEN), "'cookie'"),
+        (batch({"type": "odd", "coordinator": 0}), "unknown type"),
+        (batch(START, {**LIST, "rows_in": [{"zone": "n"}]}), "'backend'"),
+        (batch(3), "not an object"),
+    ],
+)
 def test_bad_input_is_one_sentence(monkeypatch, capsys, line, words):
     code, out, err = run(monkeypatch, capsys, line)
     assert code == 1 and out == "" and words in err and err.count("\n") == 1 and "Traceback" not in err
 
 
 def test_wire_names_and_units(monkeypatch, capsys):
-    code, out, err = run(monkeypatch, capsys, batch(), batch(START, LIST, JOIN),
-                         batch({"type": "shutdown", "coordinator": 0}, LEFT))
+    code, out, err = run(
+        monkeypatch,
+        capsys,
+        batch(),
+        batch(START, LIST, JOIN),
+        batch({"type": "shutdown", "coordinator": 0}, LEFT),
+    )
     replies = [json.loads(line)["do"] for line in out.splitlines()]
     assert code == 0 and err == "" and replies[0] == replies[2] == []
     assert {"type": "bind", "coordinator": 0, "agent": 3, "tbl": 0, "for_classes": 0} in replies[1]
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -1,4 +1,5 @@
 """Variants of a site: what is laid over it, and what is refused in one sentence."""
+
 import sys
 import tomllib
 
@@ -40,7 +41,10 @@
 
 
 def test_differences_are_laid_over_the_site_entry_by_entry(site, tmp_path, capsys):
-    code, whole = call(site, tmp_path, """
+    code, whole = call(
+        site,
+        tmp_path,
+        """
 [goal]
 whole = [0.5, 1]
 [[class]]
@@ -51,25 +55,39 @@
 effect = "unsafe"
 [[class]]
 name = "z"
-""")
+""",
+    )
     assert code == 0 and capsys.readouterr().out.strip().endswith("made/there/there.toml")
     assert whole == {
-        **tomllib.loads(SITE), "name": "there", "goal": {"whole": [0.5, 1], "range": [1, 2]}, "class": [
+        **tomllib.loads(SITE),
+        "name": "there",
+        "goal": {"whole": [0.5, 1], "range": [1, 2]},
+        "class": [
             {"name": "x", "worth": 9, "effect": "safe"},
             {"name": "y", "worth": 5, "effect": "unsafe", "write": True},
-            {"name": "z", "worth": 5, "write": True}]}
-    assert {path.name: path.read_text() for path in (tmp_path / "made" / "there").iterdir()
-            if path.suffix != ".toml"} == {"real.json": "{}", "wire.json": "[]", "unlock.txt": "x\n"}
-
-
-@pytest.mark.parametrize("text, words", [
-    ("[goal]\nhole = 1", "there.toml: the site has no key 'goal.hole'"), ("tenant = []", "no key 'tenant'"),
-    ("[[class]]\nname = 'x'\naim = 5", "no key 'class[0].aim'"),
-    ("[goal]\nwhole = 'x'", "the key 'goal.whole' holds str, and the site has a figure there"),
-    ("[allow]\nprobes = 1", "the key 'allow.probes' holds a figure, and the site has bool there"),
-    ("goal = 5", "the key 'goal' holds a figure, and the site has a table there"),
-    ("class = 'x'", "the key 'class' holds str, and the site has a list of tables there"),
-    ("[goal", "is not TOML")])
+            {"name": "z", "worth": 5, "write": True},
+        ],
+    }
+    assert {
+        path.name: path.read_text()
+        for path in (tmp_path / "made" / "there").iterdir()
+        if path.suffix != ".toml"
+    } == {"real.json": "{}", "wire.json": "[]", "unlock.txt": "x\n"}
+
+
+@pytest.mark.parametrize(
+    "text, words",
+    [
+        ("[goal]\nhole = 1", "there.toml: the site has no key 'goal.hole'"),
+        ("tenant = []", "no key 'tenant'"),
+        ("[[class]]\nname = 'x'\naim = 5", "no key 'class[0].aim'"),
+        ("[goal]\nwhole = 'x'", "the key 'goal.whole' holds str, and the site has a figure there"),
+        ("[allow]\nprobes = 1", "the key 'allow.probes' holds a figure, and the site has bool there"),
+        ("goal = 5", "the key 'goal' holds a figure, and the site has a table there"),
+        ("class = 'x'", "the key 'class' holds str, and the site has a list of tables there"),
+        ("[goal", "is not TOML"),
+    ],
+)
 def test_what_does_not_fit_the_site_is_one_sentence_and_writes_nothing(site, tmp_path, capsys, text, words):
     code, whole = call(site, tmp_path, text)
     err = capsys.readouterr().err
--- a/tests/test_state_service.py
+++ b/tests/test_state_service.py
@@ -1,5 +1,6 @@
 """The state folder in a service: a writer on a failing or slow disk, real processes that are killed, two of
 them on one folder, files of other days and versions."""
+
 import errno
 import json
 import os
@@ -54,6 +55,7 @@
 
 # The writer
 
+
 @pytest.mark.parametrize("call", ["append", "sync", "rename", "sync_names"])
 @pytest.mark.parametrize("code", [errno.ENOSPC, errno.EIO, errno.EROFS])
 def test_a_disk_that_fails_is_told_once_tried_again_and_told_when_it_is_well(monkeypatch, call, code):
@@ -67,11 +69,12 @@
     writer.submit({b"a": b"2"})
     writer.submit({b"b": b"3"})
     if call in ("rename", "sync_names"):
-        disk.fails["append"] = code              # an append alone needs no rename: have it begin anew
+        disk.fails["append"] = code  # an append alone needs no rename: have it begin anew
     assert until(lambda: disk.calls > 12)
     told = writer.drain()
     assert [(event, fields["why"], fields["retry"]) for event, fields in told] == [
-        ("state_failed", os.strerror(code), True)]
+        ("state_failed", os.strerror(code), True)
+    ]
     disk.fails = {}
     assert until(lambda: writer.synced and events(writer) == ["state_back"])
     assert writer.close(5)
@@ -144,6 +147,7 @@
 
 # A service on a clock of ours
 
+
 class Bench:
     """A service whose clocks the test sets, with a state folder and a log that is read back."""
 
@@ -152,24 +156,47 @@
         self.settings = {"zones": ["n"], "classes": [{"name": "pay"}], **settings}
 
     def config(self, **state):
-        return {"name": "t", "listen": ("127.0.0.1", 0), "discovery": ("127.0.0.1", 9), "seed": 1,
-                "sockets": 64,
-                "probes": 4, "connections": 32, "buffers": 64, "peer_listen": None, "peers": [],
-                "peers_all": None,
-                "known": {"index": 1, "endpoints": self.known}, "settings": self.settings,
-                "operator": Operator(state=State(folder=str(self.path), **state))}
-
-    known = [{"name": name, "address": "127.0.0.1:9", "zone": "n", "type": "m", "status": "ready",
-              "weight": 1.0,
-              "since_ms": 0} for name in "abcd"]
+        return {
+            "name": "t",
+            "listen": ("127.0.0.1", 0),
+            "discovery": ("127.0.0.1", 9),
+            "seed": 1,
+            "sockets": 64,
+            "probes": 4,
+            "connections": 32,
+            "buffers": 64,
+            "peer_listen": None,
+            "peers": [],
+            "peers_all": None,
+            "known": {"index": 1, "endpoints": self.known},
+            "settings": self.settings,
+            "operator": Operator(state=State(folder=str(self.path), **state)),
+        }
+
+    known = [
+        {
+            "name": name,
+            "address": "127.0.0.1:9",
+            "zone": "n",
+            "type": "m",
+            "status": "ready",
+            "weight": 1.0,
+            "since_ms": 0,
+        }
+        for name in "abcd"
+    ]
 
     def __enter__(self):
         self.pipe = os.pipe()
         os.set_blocking(self.pipe[0], False)
         try:
-            self.service = Service(self.config(), self.pipe[1], lambda: self.now,
-                                   reread=lambda: self.config(every_ms=300),
-                                   mono=lambda: self.mono)
+            self.service = Service(
+                self.config(),
+                self.pipe[1],
+                lambda: self.now,
+                reread=lambda: self.config(every_ms=300),
+                mono=lambda: self.mono,
+            )
         except BaseException:
             self._shut()
             raise
@@ -193,11 +220,20 @@
     def hear(self, **means):
         """One report a backend: its mean in ms, 0 for failures alone."""
         for backend, mean in means.items():
-            self.service.coordinator.report(self.now, "heard", zone="n", backend=backend, tries=20,
-                                            failed=0 if mean else 20, mean=mean * 10**6, window=S, load={})
+            self.service.coordinator.report(
+                self.now,
+                "heard",
+                zone="n",
+                backend=backend,
+                tries=20,
+                failed=0 if mean else 20,
+                mean=mean * 10**6,
+                window=S,
+                load={},
+            )
 
     def learn(self, **means):
-        for second in range(15):                 # who fails altogether does so for the last two: it is cut
+        for second in range(15):  # who fails altogether does so for the last two: it is cut
             self.hear(**{name: mean or 40 * (second < 13) for name, mean in means.items()})
             for _ in range(20):
                 self.turn()
@@ -236,11 +272,16 @@
         assert second.logged("recalled")[0]["cuts"] == 1
 
 
-@pytest.mark.parametrize("wall, mono, settings, words", [
-    (24 * 3600 * S, 24 * 3600 * S, {}, "86400 s old"), (-3600 * S, S, {}, "clock went backward"),
-    (5 * S, 3605 * S, {}, "clock went backward"),
-    (S, S, {"classes": [{"name": "pay"}, {"name": "look"}]}, "classes pay, and now they are pay, look"),
-    (S, S, {"zones": ["n", "s"]}, "zones n, and now they are n, s")])
+@pytest.mark.parametrize(
+    "wall, mono, settings, words",
+    [
+        (24 * 3600 * S, 24 * 3600 * S, {}, "86400 s old"),
+        (-3600 * S, S, {}, "clock went backward"),
+        (5 * S, 3605 * S, {}, "clock went backward"),
+        (S, S, {"classes": [{"name": "pay"}, {"name": "look"}]}, "classes pay, and now they are pay, look"),
+        (S, S, {"zones": ["n", "s"]}, "zones n, and now they are n, s"),
+    ],
+)
 def test_a_record_that_is_not_believed_is_ignored_with_one_line(tmp_path, wall, mono, settings, words):
     _, now, then = lived(tmp_path / "state", **SICK)
     with Bench(tmp_path / "state", now + wall, then + mono, **settings) as second:
@@ -253,9 +294,15 @@
 def test_who_moved_on_in_the_list_brings_nothing_back(tmp_path, monkeypatch):
     _, now, mono = lived(tmp_path / "state", **SICK)
     started = (now - S // 2) // 10**6
-    newer = [{**entry, **({"since_ms": started} if entry["name"] == "b" else {}),
-              **({"status": "draining"} if entry["name"] == "c" else {})} for entry in Bench.known
-             if entry["name"] != "d"] + [{**Bench.known[0], "name": "e"}]
+    newer = [
+        {
+            **entry,
+            **({"since_ms": started} if entry["name"] == "b" else {}),
+            **({"status": "draining"} if entry["name"] == "c" else {}),
+        }
+        for entry in Bench.known
+        if entry["name"] != "d"
+    ] + [{**Bench.known[0], "name": "e"}]
     monkeypatch.setattr(Bench, "known", newer)
     with Bench(tmp_path / "state", now + S, mono + S) as second:
         second.turn()
@@ -282,9 +329,16 @@
 
 def test_the_list_to_start_from_is_the_records_where_it_is_newer(tmp_path, monkeypatch):
     with Bench(tmp_path / "state") as first:
-        first.service.discovery.news({"index": 9, "snapshot": False, "endpoints": [
-            {**Bench.known[0], "status": "draining"}, {**Bench.known[0], "name": "new",
-                                                       "address": "127.0.0.1:5"}]})
+        first.service.discovery.news(
+            {
+                "index": 9,
+                "snapshot": False,
+                "endpoints": [
+                    {**Bench.known[0], "status": "draining"},
+                    {**Bench.known[0], "name": "new", "address": "127.0.0.1:5"},
+                ],
+            }
+        )
         first.learn(**SICK)
     with Bench(tmp_path / "state", first.now + S, first.mono + S) as second:
         second.turn()
@@ -298,8 +352,13 @@
 
 def test_a_folder_of_the_first_format_is_read_and_written_as_the_newest(tmp_path):
     shutil.copytree(V1, tmp_path / "state")
-    bench = Bench(tmp_path / "state", 10**18 + 2 * S, 7 * S, zones=["n", "s"],
-                  classes=[{"name": "pay"}, {"name": "look"}])
+    bench = Bench(
+        tmp_path / "state",
+        10**18 + 2 * S,
+        7 * S,
+        zones=["n", "s"],
+        classes=[{"name": "pay"}, {"name": "look"}],
+    )
     bench.config = lambda **_: {**Bench.config(bench), "name": "n0"}
     with bench as second:
         second.turn()
@@ -311,8 +370,14 @@
     assert found.header.format == record.FORMAT and not problems and found.header.start == 4
 
 
-@pytest.mark.parametrize("spoil", [lambda data: data[:len(data) // 2], lambda data: b"\x7fELF" + data,
-                                   lambda data: data[:60] + b"?" + data[61:]])
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda data: data[: len(data) // 2],
+        lambda data: b"\x7fELF" + data,
+        lambda data: data[:60] + b"?" + data[61:],
+    ],
+)
 def test_a_torn_file_is_told_and_nothing_of_it_trusted(tmp_path, spoil):
     _, now, mono = lived(tmp_path / "state", **SICK)
     [name] = [name for name in os.listdir(tmp_path / "state") if name != "lock"]
@@ -369,8 +434,9 @@
 def test_names_that_went_are_forgotten_on_the_disk_too(tmp_path):
     with Bench(tmp_path / "state") as bench:
         bench.learn(**SICK)
-        bench.service.discovery.news({"index": 2, "snapshot": False, "endpoints": [
-            {**Bench.known[0], "status": "gone"}]})
+        bench.service.discovery.news(
+            {"index": 2, "snapshot": False, "endpoints": [{**Bench.known[0], "status": "gone"}]}
+        )
         for _ in range(60):
             bench.turn(0.5)
         memory = bench.service.keeper.memory
@@ -382,6 +448,7 @@
 
 # Real processes
 
+
 class Party:
     """A proxy or collector over a plain socket, as far as these tests need one."""
 
@@ -390,8 +457,10 @@
         self.say(*messages)
 
     def say(self, *messages):
-        data = b"".join(len(body).to_bytes(4, "little") + body for body in (
-            json.dumps(message).encode() for message in messages))
+        data = b"".join(
+            len(body).to_bytes(4, "little") + body
+            for body in (json.dumps(message).encode() for message in messages)
+        )
         self.sock.sendall(data)
 
     def close(self):
@@ -404,9 +473,12 @@
 
 
 def started(config, operator):
-    process = subprocess.Popen([sys.executable, "-m", "granitespool", "serve", "--config", config,
-                                "--operator",
-                                operator], text=True, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "granitespool", "serve", "--config", config, "--operator", operator],
+        text=True,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
     lines = []
     for line in iter(process.stdout.readline, ""):
         lines.append(json.loads(line))
@@ -420,21 +492,52 @@
     port = free_port()
     config, operator = tmp_path / "config.json", tmp_path / "operator.ini"
     names = [f"s-{k}" for k in range(9)]
-    config.write_text(json.dumps({
-        "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:9", "seed": "1f",
-        "known": {"index": 1, "endpoints": [{"name": name, "address": "127.0.0.1:9", "zone": "n", "type": "m",
-                                             "status": "ready", "weight": 1.0, "since_ms": 0}
-                                            for name in names]},
-        "settings": {"zones": ["n"], "classes": [{"name": "pay"}], "family_info": {"proxy_count": 8}}}))
+    config.write_text(
+        json.dumps(
+            {
+                "name": "n0",
+                "listen": f"127.0.0.1:{port}",
+                "discovery": "127.0.0.1:9",
+                "seed": "1f",
+                "known": {
+                    "index": 1,
+                    "endpoints": [
+                        {
+                            "name": name,
+                            "address": "127.0.0.1:9",
+                            "zone": "n",
+                            "type": "m",
+                            "status": "ready",
+                            "weight": 1.0,
+                            "since_ms": 0,
+                        }
+                        for name in names
+                    ],
+                },
+                "settings": {"zones": ["n"], "classes": [{"name": "pay"}], "family_info": {"proxy_count": 8}},
+            }
+        )
+    )
     operator.write_text("[state]\nfolder = state\nevery_ms = 100\n")
-    return SimpleNamespace(where=("127.0.0.1", port), config=str(config), operator=str(operator), names=names,
-                           folder=str(tmp_path / "state"))
+    return SimpleNamespace(
+        where=("127.0.0.1", port),
+        config=str(config),
+        operator=str(operator),
+        names=names,
+        folder=str(tmp_path / "state"),
+    )
 
 
 def heard(name, mean, second):
-    return {"type": "heard", "locality": "n", "endpoint": name, "total": 20, "errors": 0,
-            "rtt": mean + second % 3,
-            "interval": 1000.0}
+    return {
+        "type": "heard",
+        "locality": "n",
+        "endpoint": name,
+        "total": 20,
+        "errors": 0,
+        "rtt": mean + second % 3,
+        "interval": 1000.0,
+    }
 
 
 def test_sigkill_at_random_moments_leaves_a_folder_that_is_whole_and_a_start_within_a_second(world, capsys):
@@ -449,14 +552,16 @@
             if "recalled" in told:
                 recalls += 1
                 assert told["recalled"]["age_ms"] < 5000 and told["recalled"]["backends"] == len(world.names)
-            proxy = Party(world.where, {"type": "joined", "node": 1, "locality": "n", "w": 5.0,
-                                        "cold": kill == 0})
+            proxy = Party(
+                world.where, {"type": "joined", "node": 1, "locality": "n", "w": 5.0, "cold": kill == 0}
+            )
             collector = Party(world.where, {"type": "collector", "locality": "n"})
             end = time.monotonic() + rng.uniform(0.2, 0.6)
             while time.monotonic() < end:
                 # one is slow in even lives, the other in odd ones: news differ from what was kept
-                collector.say(*(heard(name, 200 if k == kill % 2 else 40, kill) for k, name
-                                in enumerate(world.names)))
+                collector.say(
+                    *(heard(name, 200 if k == kill % 2 else 40, kill) for k, name in enumerate(world.names))
+                )
                 time.sleep(rng.uniform(0.0, 0.02))
         finally:
             process.send_signal(signal.SIGKILL)
@@ -469,7 +574,7 @@
         if kill:
             kept = record.kept(found.header.format, found.held)
             slow, other = (kept.backends[world.names[k]][1]["n"] for k in (kill % 2, 1 - kill % 2))
-            if slow.at > found.header.wall:      # written in this life: what it met stands over what was kept
+            if slow.at > found.header.wall:  # written in this life: what it met stands over what was kept
                 assert slow.time / slow.answered > 1.5 * other.time / other.answered
     assert recalls >= KILLS - 2
 
--- a/tests/test_state_store.py
+++ b/tests/test_state_store.py
@@ -1,4 +1,5 @@
 """The store against a disk that forgets: crashes at every call, flipped bytes, faults, and a plain model."""
+
 import copy
 import errno
 import pathlib
@@ -33,8 +34,9 @@
     """Batches of changes as a long run has them: most small, some large, keys that come and go."""
     rng = random.Random(seed)
     for number in range(count):
-        changes = {b"b%d" % rng.randrange(12): rng.choice([None, b"x" * rng.randrange(1, 60)])
-                   for _ in range(3)}
+        changes = {
+            b"b%d" % rng.randrange(12): rng.choice([None, b"x" * rng.randrange(1, 60)]) for _ in range(3)
+        }
         yield {**changes, b"f": b"%d" % number}
 
 
@@ -70,8 +72,11 @@
         assert crashed
         unsafe = max([len(i.data) - len(i.safe) for i in disk.present.values()], default=0)
         changes = len(disk.pending)
-        keeps = [lambda n: False, lambda n: True] + [lambda n, k=k: n == k for k in range(changes)] \
+        keeps = (
+            [lambda n: False, lambda n: True]
+            + [lambda n, k=k: n == k for k in range(changes)]
             + [lambda n, k=k: n != k for k in range(changes)]
+        )
         for keep in keeps:
             for tear in tears(unsafe):
                 found, _ = recover(Forgetful(disk.after_crash(keep, tear)), MOST)
@@ -139,17 +144,24 @@
     return data + frames.frame(7, len(data), kind, body)
 
 
-@pytest.mark.parametrize("data, words", [
-    (b"", "no state file"), (b"SQLite format 3\x00" + bytes(90), "no state file"),
-    (frames.MAGIC, "ends before"),
-    (frames.begin(9), "its name is not"), (frames.begin(7) + bytes(64), "tells the length 0"),
-    (frames.begin(7), "before its snapshot"),
-    (frames.begin(7) + frames.frame(7, frames.BEGIN, b"w", b""), "no header"),
-    (frames.begin(7) + frames.frame(8, frames.BEGIN, b"h", b""), "checksum"),
-    (frames.begin(7) + frames.frame(7, frames.BEGIN, b"?", b""), "unknown kind"),
-    (begun(frames.WHOLE, record.end_bytes(1, 1, 5)), "its snapshot holds 0 of 5 values"),
-    (begun(frames.CHANGED, record.batch_bytes(1, 1, {})), "out of place"),
-    (begun(frames.HEADER, b"\x90"), "out of place"), (begun(frames.HELD, b"\xc1"), "cannot be read")])
+@pytest.mark.parametrize(
+    "data, words",
+    [
+        (b"", "no state file"),
+        (b"SQLite format 3\x00" + bytes(90), "no state file"),
+        (frames.MAGIC, "ends before"),
+        (frames.begin(9), "its name is not"),
+        (frames.begin(7) + bytes(64), "tells the length 0"),
+        (frames.begin(7), "before its snapshot"),
+        (frames.begin(7) + frames.frame(7, frames.BEGIN, b"w", b""), "no header"),
+        (frames.begin(7) + frames.frame(8, frames.BEGIN, b"h", b""), "checksum"),
+        (frames.begin(7) + frames.frame(7, frames.BEGIN, b"?", b""), "unknown kind"),
+        (begun(frames.WHOLE, record.end_bytes(1, 1, 5)), "its snapshot holds 0 of 5 values"),
+        (begun(frames.CHANGED, record.batch_bytes(1, 1, {})), "out of place"),
+        (begun(frames.HEADER, b"\x90"), "out of place"),
+        (begun(frames.HELD, b"\xc1"), "cannot be read"),
+    ],
+)
 def test_what_is_wrong_with_a_file_is_said_in_one_sentence(data, words):
     found, problem = read_file(file_name(7), data)
     assert found is None and words in problem and "\n" not in problem
@@ -169,8 +181,14 @@
     facts, links = kept.backends["a"]
     assert links["n"].time / links["n"].answered == 5e7 and links["n"].at == facts.at == 10**18
     assert kept.backends["c"][1]["n"].cut_at == 10**18 - 10**9 and kept.backends["d"][0].phase == "draining"
-    again = record.kept(2, {key: record.value_bytes(value) for values in record.values_of(kept).values()
-                            for key, value in values.items()})
+    again = record.kept(
+        2,
+        {
+            key: record.value_bytes(value)
+            for values in record.values_of(kept).values()
+            for key, value in values.items()
+        },
+    )
     assert again == kept
 
 
@@ -235,8 +253,14 @@
         except OSError:
             pass
 
-    @rule(changes=st.dictionaries(st.sampled_from([b"a", b"b", b"c", b"d"]),
-                                  st.none() | st.binary(max_size=40), min_size=1, max_size=4))
+    @rule(
+        changes=st.dictionaries(
+            st.sampled_from([b"a", b"b", b"c", b"d"]),
+            st.none() | st.binary(max_size=40),
+            min_size=1,
+            max_size=4,
+        )
+    )
     def append(self, changes):
         self._next(changes)
         self._write(lambda: self.store.append(self.time, self.time, changes))
@@ -245,8 +269,10 @@
     def compact(self):
         self._write(lambda: self.store.begin(self.time, self.time))
 
-    @rule(call=st.sampled_from(["append", "sync", "rename", "unlink", "sync_names"]),
-          code=st.sampled_from([errno.ENOSPC, errno.EIO, errno.EROFS]))
+    @rule(
+        call=st.sampled_from(["append", "sync", "rename", "unlink", "sync_names"]),
+        code=st.sampled_from([errno.ENOSPC, errno.EIO, errno.EROFS]),
+    )
     def fault(self, call, code):
         self.disk.fails = {call: code}
 
@@ -262,8 +288,13 @@
         self._restart(self.store.held)
 
     @precondition(lambda self: self.disk.calls)
-    @rule(after=st.integers(1, 8), kept=st.integers(0, 255), cut=st.integers(0, 400), zeros=st.booleans(),
-          changes=st.dictionaries(st.sampled_from([b"a", b"e"]), st.binary(max_size=300), min_size=1))
+    @rule(
+        after=st.integers(1, 8),
+        kept=st.integers(0, 255),
+        cut=st.integers(0, 400),
+        zeros=st.booleans(),
+        changes=st.dictionaries(st.sampled_from([b"a", b"e"]), st.binary(max_size=300), min_size=1),
+    )
     def crash(self, after, kept, cut, zeros, changes):
         """The machine stops within one of the next calls."""
         self._next(changes)
@@ -273,21 +304,23 @@
             self._write(lambda: self.store.begin(self.time, self.time))
         except Crash:
             pass
-        files = self.disk.after_crash(lambda n: kept >> n % 8 & 1, lambda data: data[:cut] if not zeros else
-                                      bytes(min(cut, len(data))) + data[cut:])
+        files = self.disk.after_crash(
+            lambda n: kept >> n % 8 & 1,
+            lambda data: data[:cut] if not zeros else bytes(min(cut, len(data))) + data[cut:],
+        )
         self.disk = Forgetful(files)
         self.store = store_on(self.disk)
         self._restart(self.store.held)
 
     def _restart(self, held):
-        assert held in self.states[self.synced:], (held, self.states[self.synced:])
+        assert held in self.states[self.synced :], (held, self.states[self.synced :])
         self.states, self.synced = [copy.deepcopy(held)], 0
 
     @invariant()
     def a_reader_beside_it_finds_a_whole_state(self):
         if hasattr(self, "disk"):
             found, _ = recover(self.disk, MOST)
-            assert (found.held if found else {}) in self.states[self.synced:]
+            assert (found.held if found else {}) in self.states[self.synced :]
 
 
 Model.TestCase.settings = settings(max_examples=60, stateful_step_count=30, deadline=None, derandomize=True)
--- a/tests/test_state_trust.py
+++ b/tests/test_state_trust.py
@@ -1,4 +1,5 @@
 """What is believed of a record, and what of it is worth writing: plain facts in, verdicts out."""
+
 import math
 
 import msgspec
@@ -14,68 +15,110 @@
 from granitespool.state.trust import Clocks, Identity
 
 S = 10**9
-W = 10**18                      # ns: the wall clock when the record was last written
+W = 10**18  # ns: the wall clock when the record was last written
 WHO = Identity("n0", ["pay"], ["n", "s"])
 HEADER = record.Header(record.FORMAT, "n0", ["pay"], ["n", "s"], W - S, 0, 1, "test")
 HALF, OLDEST = 30 * S, 300 * S
 
 
 def link(at=W, **facts):
-    usual = {"tries": 100.0, "failed": 10.0, "answered": 90.0, "time": 90 * 4e7, "low": (W - S, 3e7),
-             "over": 0,
-             "streak": 0.0, "cut_at": None, "ramp_from": None}
+    usual = {
+        "tries": 100.0,
+        "failed": 10.0,
+        "answered": 90.0,
+        "time": 90 * 4e7,
+        "low": (W - S, 3e7),
+        "over": 0,
+        "streak": 0.0,
+        "cut_at": None,
+        "ramp_from": None,
+    }
     return record.Link(**{**usual, **facts}, at=at)
 
 
 def backend(at=W, **facts):
-    usual = {"phase": "ready", "zone": "n", "kind": "m", "listed": 1.0, "started": W - 1000 * S,
-             "gone_at": None,
-             "ramp_from": None, "proven": True, "missing": False, "address": "127.0.0.1:1"}
+    usual = {
+        "phase": "ready",
+        "zone": "n",
+        "kind": "m",
+        "listed": 1.0,
+        "started": W - 1000 * S,
+        "gone_at": None,
+        "ramp_from": None,
+        "proven": True,
+        "missing": False,
+        "address": "127.0.0.1:1",
+    }
     return record.Backend(at=at, **{**usual, **facts})
 
 
 def kept(fleet=None, **backends):
-    return record.Kept(fleet, {name: each if isinstance(each, tuple) else (backend(), {"n": each})
-                               for name, each in backends.items()})
+    return record.Kept(
+        fleet,
+        {
+            name: each if isinstance(each, tuple) else (backend(), {"n": each})
+            for name, each in backends.items()
+        },
+    )
 
 
 def fleet(**facts):
-    return record.Fleet(**{"at": W, "strained": True, "room": 0.5, "through": 0.8, "asked": {"pay": 10.0},
-                           "index": 41, **facts})
+    return record.Fleet(
+        **{
+            "at": W,
+            "strained": True,
+            "room": 0.5,
+            "through": 0.8,
+            "asked": {"pay": 10.0},
+            "index": 41,
+            **facts,
+        }
+    )
 
 
 def believed(record_, age=2 * S, listed=None, own_list=False):
     now = Clocks(W + age, 5 * S + age)
     listed = listed or {name: (facts.phase, facts.started) for name, (facts, _) in record_.backends.items()}
-    return trust.believed(record_, Clocks(W, 5 * S), now, listed, frozenset(WHO.zones), own_list, HALF,
-                          OLDEST)
-
-
-@pytest.mark.parametrize("wall, mono, age", [
-    (3 * S, 3 * S, 3 * S), (0, 0, 0),
-    (3 * S, -100 * S, 3 * S),             # the machine was started anew: its monotonic clock tells nothing
-    (-1, 3 * S, None),                    # set back behind the record
-    (100 * S, 3700 * S, None),            # set back an hour, and still after it
-    (3700 * S, 100 * S, 3700 * S),        # set forward: older than it is, which only costs belief
-    (3 * S, 3 * S + S // 2, 3 * S)])      # slewed
+    return trust.believed(
+        record_, Clocks(W, 5 * S), now, listed, frozenset(WHO.zones), own_list, HALF, OLDEST
+    )
+
+
+@pytest.mark.parametrize(
+    "wall, mono, age",
+    [
+        (3 * S, 3 * S, 3 * S),
+        (0, 0, 0),
+        (3 * S, -100 * S, 3 * S),  # the machine was started anew: its monotonic clock tells nothing
+        (-1, 3 * S, None),  # set back behind the record
+        (100 * S, 3700 * S, None),  # set back an hour, and still after it
+        (3700 * S, 100 * S, 3700 * S),  # set forward: older than it is, which only costs belief
+        (3 * S, 3 * S + S // 2, 3 * S),
+    ],
+)  # slewed
 def test_the_age_of_a_record_is_unknown_once_a_clock_went_backward(wall, mono, age):
     then = Clocks(W, 200 * S)
     assert trust.age_of(then, Clocks(W + wall, 200 * S + mono)) == age
 
 
-@pytest.mark.parametrize("header, who, age, words", [
-    (HEADER, WHO, 5 * S, None),
-    (HEADER, WHO._replace(name="n1"), 5 * S, "written by 'n0', and this is 'n1'"),
-    (HEADER, WHO._replace(classes=["pay", "look"]), 5 * S, "classes pay, and now they are pay, look"),
-    (HEADER, WHO._replace(zones=["s", "n"]), 5 * S, "zones n, s, and now they are s, n"),
-    (HEADER, WHO, 301 * S, "301 s old"), (HEADER, WHO, 9 * 24 * 3600 * S, "777600 s old"),
-    (HEADER, WHO, -3600 * S, "clock went backward")])
+@pytest.mark.parametrize(
+    "header, who, age, words",
+    [
+        (HEADER, WHO, 5 * S, None),
+        (HEADER, WHO._replace(name="n1"), 5 * S, "written by 'n0', and this is 'n1'"),
+        (HEADER, WHO._replace(classes=["pay", "look"]), 5 * S, "classes pay, and now they are pay, look"),
+        (HEADER, WHO._replace(zones=["s", "n"]), 5 * S, "zones n, s, and now they are s, n"),
+        (HEADER, WHO, 301 * S, "301 s old"),
+        (HEADER, WHO, 9 * 24 * 3600 * S, "777600 s old"),
+        (HEADER, WHO, -3600 * S, "clock went backward"),
+    ],
+)
 def test_a_record_that_is_not_to_be_believed_says_so_in_one_sentence(header, who, age, words):
     why = trust.doubt(header, Clocks(W, 5 * S), Clocks(W + age, 5 * S + abs(age)), who, OLDEST)
     assert why is None if words is None else words in why and "\n" not in why
 
 
-@pytest.mark.parametrize("age, part", [(0, 1.0), (30 * S, 0.5), (60 * S, 0.25), (300 * S, 2 ** -10)])
+@pytest.mark.parametrize("age, part", [(0, 1.0), (30 * S, 0.5), (60 * S, 0.25), (300 * S, 2**-10)])
 def test_older_sums_count_for_less_by_the_half_life_and_means_stay(age, part):
     facts, links = believed(kept(a=link()), age).backends["a"]
     assert (links["n"]["tries"], links["n"]["failed"]) == pytest.approx((100 * part, 10 * part))
@@ -83,22 +126,34 @@
 
 
 def test_a_link_that_was_not_written_since_is_as_old_as_it_is():
-    belief = believed(kept(a=(backend(), {"n": link(), "s": link(at=W - 30 * S), "x": link()}),
-                           b=(backend(), {"n": link(at=W - 299 * S)})))
+    belief = believed(
+        kept(
+            a=(backend(), {"n": link(), "s": link(at=W - 30 * S), "x": link()}),
+            b=(backend(), {"n": link(at=W - 299 * S)}),
+        )
+    )
     links = belief.backends["a"][1]
     assert links["n"]["tries"] / links["s"]["tries"] == pytest.approx(2) and "x" not in links
     assert belief.backends["b"][1] == {} and belief.links == 2
 
 
-@pytest.mark.parametrize("now, then, reason", [
-    (("ready", W + S), backend(), "started again since"), (("draining", 0), backend(), "not ready now"),
-    (("gone", 0), backend(), "not ready now"), (None, backend(), "not ready now"),
-    (("ready", 0), backend(phase="draining"), "not ready then"), (("ready", 0), backend(phase="gone"),
-                                                                  "not ready then"),
-    (("ready", 0), backend(at=W - 299 * S), "too old"), (("ready", 0), backend(), None)])
+@pytest.mark.parametrize(
+    "now, then, reason",
+    [
+        (("ready", W + S), backend(), "started again since"),
+        (("draining", 0), backend(), "not ready now"),
+        (("gone", 0), backend(), "not ready now"),
+        (None, backend(), "not ready now"),
+        (("ready", 0), backend(phase="draining"), "not ready then"),
+        (("ready", 0), backend(phase="gone"), "not ready then"),
+        (("ready", 0), backend(at=W - 299 * S), "too old"),
+        (("ready", 0), backend(), None),
+    ],
+)
 def test_who_started_again_drained_or_went_brings_nothing_back(now, then, reason):
-    belief = believed(kept(a=(then, {"n": link()}), b=link()),
-                      listed={"b": ("ready", 0), **({"a": now} if now else {})})
+    belief = believed(
+        kept(a=(then, {"n": link()}), b=link()), listed={"b": ("ready", 0), **({"a": now} if now else {})}
+    )
     assert belief.left == ({reason: 1} if reason else {}) and ("a" in belief.backends) == (reason is None)
     assert "b" in belief.backends
 
@@ -124,40 +179,84 @@
     assert (found is not None) == newer
     if newer:
         [entry] = found["endpoints"]
-        assert (entry["name"], entry["address"], entry["status"], found["index"]) == ("a", "127.0.0.1:1",
-                                                                                      "ready", 41)
+        assert (entry["name"], entry["address"], entry["status"], found["index"]) == (
+            "a",
+            "127.0.0.1:1",
+            "ready",
+            41,
+        )
 
 
 ODD = st.one_of(st.floats(), st.sampled_from([0.0, -1.0, 1e300, math.inf, math.nan, 5.0]))
-TIMES = st.none() | st.integers(-2**62, 2**62)
-
-
-@given(st.lists(ODD, min_size=5, max_size=5), TIMES, TIMES, st.none() | st.tuples(st.integers(-2**62, 2**62),
-                                                                                  ODD),
-       st.integers(-3, 2**40), ODD, ODD)
+TIMES = st.none() | st.integers(-(2**62), 2**62)
+
+
+@given(
+    st.lists(ODD, min_size=5, max_size=5),
+    TIMES,
+    TIMES,
+    st.none() | st.tuples(st.integers(-(2**62), 2**62), ODD),
+    st.integers(-3, 2**40),
+    ODD,
+    ODD,
+)
 @settings(max_examples=200, deadline=None, derandomize=True)
-def test_whatever_a_record_holds_the_planner_takes_it_and_no_table_is_empty(sums, cut, ramp, low, over, room,
-                                                                            through):
+def test_whatever_a_record_holds_the_planner_takes_it_and_no_table_is_empty(
+    sums, cut, ramp, low, over, room, through
+):
     tries, failed, answered, time, streak = sums
-    odd = link(tries=tries, failed=failed, answered=answered, time=time, streak=streak, low=low, over=over,
-               cut_at=cut, ramp_from=ramp)
+    odd = link(
+        tries=tries,
+        failed=failed,
+        answered=answered,
+        time=time,
+        streak=streak,
+        low=low,
+        over=over,
+        cut_at=cut,
+        ramp_from=ramp,
+    )
     coordinator = Coordinator({"zones": ["n", "s"], "classes": [{"name": "pay"}], "probes": True}, 1, W)
-    coordinator.report(W, "list_news", form="restored", entries=[
-        {"backend": name, "zone": "n", "kind": "m", "cell": 0, "phase": "ready", "weight": 1.0, "started": 0}
-        for name in "abcd"])
-    record_ = kept(fleet(room=room, through=through), a=odd, b=odd, c=odd,
-                   d=(backend(ramp_from=ramp), {"s": odd}))
+    coordinator.report(
+        W,
+        "list_news",
+        form="restored",
+        entries=[
+            {
+                "backend": name,
+                "zone": "n",
+                "kind": "m",
+                "cell": 0,
+                "phase": "ready",
+                "weight": 1.0,
+                "started": 0,
+            }
+            for name in "abcd"
+        ],
+    )
+    record_ = kept(
+        fleet(room=room, through=through), a=odd, b=odd, c=odd, d=(backend(ramp_from=ramp), {"s": odd})
+    )
     belief = believed(record_)
     coordinator.report(W, "recalled", fleet=belief.fleet, backends=belief.backends)
     for second in range(1, 5):
-        coordinator.report(W + second * S, "heard", zone="n", backend="a", tries=9, failed=0, mean=4 * 10**7,
-                           window=S, load={})
+        coordinator.report(
+            W + second * S,
+            "heard",
+            zone="n",
+            backend="a",
+            tries=9,
+            failed=0,
+            mean=4 * 10**7,
+            window=S,
+            load={},
+        )
         coordinator.tick(W + second * S)
     assert not coordinator.queues["remarks"], coordinator.queues["remarks"]
     for table in (0, 1):
         lines = coordinator.tables[table]
         assert lines and all(math.isfinite(weight) and weight > 0 for weight in lines.values())
-        assert len(lines) >= 3                      # at most a third of four is one
+        assert len(lines) >= 3  # at most a third of four is one
 
 
 def test_what_is_written_again_is_what_would_change_a_start():
@@ -165,9 +264,18 @@
     group = lambda at=W, **facts: {"a": {b"l1": link(at, **facts)}}  # noqa: E731
     assert ledger.due(group()) == {b"l1": first} and ledger.due(group()) == {}
     assert ledger.due(group(W + S, time=95 * 4e7, tries=105.0, answered=95.0, failed=10.0)) == {}
-    for facts in ({"time": 90 * 5e7}, {"failed": 20.0, "time": 90 * 5e7}, {"cut_at": W}, {"over": 1},
-                  {"streak": 5.0},
-                  {"low": (W, 2e7)}, {"low": None}, {"tries": 500.0}, {"ramp_from": W}, {"answered": 20.0}):
+    for facts in (
+        {"time": 90 * 5e7},
+        {"failed": 20.0, "time": 90 * 5e7},
+        {"cut_at": W},
+        {"over": 1},
+        {"streak": 5.0},
+        {"low": (W, 2e7)},
+        {"low": None},
+        {"tries": 500.0},
+        {"ramp_from": W},
+        {"answered": 20.0},
+    ):
         assert b"l1" in ledger.due(group(W + S, **facts)), facts
         ledger.due(group(W + S))
     assert b"l1" in ledger.due(group(W + S + HALF // 2))
@@ -178,21 +286,40 @@
 
 def test_a_memory_round_trip_gives_back_the_tables_that_were():
     def life(now):
-        coordinator = Coordinator({"zones": ["n", "s"], "classes": [{"name": "pay"}], "drain_grace": 10 * S},
-                                  1, now)
+        coordinator = Coordinator(
+            {"zones": ["n", "s"], "classes": [{"name": "pay"}], "drain_grace": 10 * S}, 1, now
+        )
         return coordinator
 
     def entries():
-        return [{"backend": name, "zone": "n", "kind": "m", "cell": 0, "phase": "ready", "weight": 1.0,
-                 "started": 0}
-                for name in "abcdef"]
+        return [
+            {
+                "backend": name,
+                "zone": "n",
+                "kind": "m",
+                "cell": 0,
+                "phase": "ready",
+                "weight": 1.0,
+                "started": 0,
+            }
+            for name in "abcdef"
+        ]
+
     first = life(W)
     first.report(W, "list_news", form="restored", entries=entries())
     for second in range(1, 20):
         for name in "abcdef":
-            first.report(W + second * S, "heard", zone="n", backend=name, tries=20, failed=20
-                         if name == "f" else 0,
-                         mean=(16 if name == "a" else 4) * 10**7 if name != "f" else 0, window=S, load={})
+            first.report(
+                W + second * S,
+                "heard",
+                zone="n",
+                backend=name,
+                tries=20,
+                failed=20 if name == "f" else 0,
+                mean=(16 if name == "a" else 4) * 10**7 if name != "f" else 0,
+                window=S,
+                load={},
+            )
         first.tick(W + second * S)
     now = W + 20 * S
     fleet_, backends = first.learnt(list(first.listed()))
@@ -202,6 +329,7 @@
 
     class Found:
         header, clocks = HEADER, (now, now)
+
     carried = memory.opened(Found, record.kept(record.FORMAT, held), None, Clocks(now + S, now + S))
     assert record.kept(record.FORMAT, carried) == record.kept(record.FORMAT, held)
     second = life(now + S)
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -1,4 +1,5 @@
 """How the fleet is split into subsets, and what that gains where the channel is slow."""
+
 from types import SimpleNamespace
 
 import pytest
@@ -9,8 +10,15 @@
 from granitespool.channel import Channel
 from granitespool.routing.subsets import LEAST, RESPLIT, UNEVEN, Subsets
 
-SLOW = {"lines_per_s": 800.0, "backlog_limit": 28000.0, "message_head": 3.0, "drain_grace": 36 * SECOND,
-        "proxies_expected": 1500, "planners": 5, "classes": [{"name": "a"}]}
+SLOW = {
+    "lines_per_s": 800.0,
+    "backlog_limit": 28000.0,
+    "message_head": 3.0,
+    "drain_grace": 36 * SECOND,
+    "proxies_expected": 1500,
+    "planners": 5,
+    "classes": [{"name": "a"}],
+}
 
 
 def channel_of(settings):
@@ -20,20 +28,38 @@
 
 
 def server(number, phase="ready", zones=3):
-    return SimpleNamespace(id=number, zone=f"z{number % zones}", kind=f"k{number % 2}", phase=phase,
-                           subset=None, sent={}, proven=True)
-
-
-@pytest.mark.parametrize("change, fleet, subsets", [
-    ({}, 200, 12), ({}, 2000, 125), ({}, 30, 1), ({}, 48, 3),
-    ({"lines_per_s": 1e6}, 200, 1),                   # the channel carries whole tables
-    ({"lines_per_s": 16000.0}, 200, 1), ({"lines_per_s": 5300.0}, 200, 1), ({"lines_per_s": 4000.0}, 200, 3),
-    # 10,100 lines for a coordinator's own proxies: whole tables where that is within the drain's grace
-    ({"lines_per_s": 1000.0, "drain_grace": 12 * SECOND, "proxies_expected": 200, "planners": 2}, 96, 1),
-    ({"lines_per_s": 1000.0, "drain_grace": 4 * SECOND, "proxies_expected": 200, "planners": 2}, 96, 6),
-    ({"planners": 230}, 200, 1),                      # few proxies a coordinator, whichever of them die
-    ({"planners": 1, "proxies_expected": 20}, 200, 1),
-    ({"drain_grace": None}, 200, 1), ({"lines_per_s": None}, 200, 1), ({"slices": 4}, 200, 1)])
+    return SimpleNamespace(
+        id=number,
+        zone=f"z{number % zones}",
+        kind=f"k{number % 2}",
+        phase=phase,
+        subset=None,
+        sent={},
+        proven=True,
+    )
+
+
+@pytest.mark.parametrize(
+    "change, fleet, subsets",
+    [
+        ({}, 200, 12),
+        ({}, 2000, 125),
+        ({}, 30, 1),
+        ({}, 48, 3),
+        ({"lines_per_s": 1e6}, 200, 1),  # the channel carries whole tables
+        ({"lines_per_s": 16000.0}, 200, 1),
+        ({"lines_per_s": 5300.0}, 200, 1),
+        ({"lines_per_s": 4000.0}, 200, 3),
+        # 10,100 lines for a coordinator's own proxies: whole tables where that is within the drain's grace
+        ({"lines_per_s": 1000.0, "drain_grace": 12 * SECOND, "proxies_expected": 200, "planners": 2}, 96, 1),
+        ({"lines_per_s": 1000.0, "drain_grace": 4 * SECOND, "proxies_expected": 200, "planners": 2}, 96, 6),
+        ({"planners": 230}, 200, 1),  # few proxies a coordinator, whichever of them die
+        ({"planners": 1, "proxies_expected": 20}, 200, 1),
+        ({"drain_grace": None}, 200, 1),
+        ({"lines_per_s": None}, 200, 1),
+        ({"slices": 4}, 200, 1),
+    ],
+)
 def test_subsets_follow_the_channel(change, fleet, subsets):
     told = {name: value for name, value in {**SLOW, **change}.items() if value is not None}
     servers = [server(number) for number in range(fleet)]
@@ -89,9 +115,10 @@
     subsets.assign(SLOW, channel_of(SLOW), servers)
     for subset in range(subsets.count):
         held = [rec for rec in servers if rec.subset == subset]
-        assert {(zone, kind): sum(1 for rec in held if (rec.zone, rec.kind) == (zone, kind)) for zone, kind in
-                {(rec.zone, rec.kind) for rec in held}} == {
-                    (f"z{z}", f"k{k}"): pytest.approx(16 / 6, abs=1) for z in range(3) for k in range(2)}
+        assert {
+            (zone, kind): sum(1 for rec in held if (rec.zone, rec.kind) == (zone, kind))
+            for zone, kind in {(rec.zone, rec.kind) for rec in held}
+        } == {(f"z{z}", f"k{k}"): pytest.approx(16 / 6, abs=1) for z in range(3) for k in range(2)}
 
 
 def test_joiners_share_the_tables_and_a_crowded_one_gets_a_copy():
@@ -123,8 +150,14 @@
 def test_all_proxies_of_a_restarted_coordinator_are_bound_within_the_grace():
     # What was on its way to them is lost with the process, and they hold what had drained meanwhile. Whole
     # tables for 48 proxies took 10.7 s of this channel, and drains were broken 12 to 745 times on three days.
-    told = {"lines_per_s": 900.0, "backlog_limit": 4400.0, "message_head": 3.0, "proxies_expected": 240,
-            "planners": 5, "drain_grace": 62 * SECOND // 10}
+    told = {
+        "lines_per_s": 900.0,
+        "backlog_limit": 4400.0,
+        "message_head": 3.0,
+        "proxies_expected": 240,
+        "planners": 5,
+        "drain_grace": 62 * SECOND // 10,
+    }
     storm = Storm(200, 3, **told, classes=[{"name": "a", "promised_time": SECOND, "benefit": 1.0}])
     for proxy in range(48):
         storm.join(proxy, standing=False)
--- a/tests/test_vast.py
+++ b/tests/test_vast.py
@@ -1,23 +1,32 @@
 """Several coordinators over the same backends, none speaking to another: what all of them together do."""
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from storm import SECOND, Storm
 
 COORDINATORS, PROXIES, BACKENDS, STEP = 5, 24, 40, 12  # proxies are each coordinator's
-LOAD = 0.7       # of what the warm fleet can do
-MULTIPLE = 4.0   # of its present work that pushes a cold backend over
+LOAD = 0.7  # of what the warm fleet can do
+MULTIPLE = 4.0  # of its present work that pushes a cold backend over
 WARM = 17 * SECOND
 SHARE = 0.17
 
 
 class Fleet:
     def __init__(self, slowed=1.0):
-        settings = {"lines_per_s": 900.0, "backlog_limit": 11600.0, "drain_grace": 14 * SECOND,
-                    "cold_time": WARM, "cold_share": SHARE, "fall_multiple": MULTIPLE, "standing_lines": 5,
-                    "proxies_expected": COORDINATORS * PROXIES}
-        self.storms = [Storm(BACKENDS, 3, planners=COORDINATORS, slowed=slowed, **settings)
-                       for _ in range(COORDINATORS)]
+        settings = {
+            "lines_per_s": 900.0,
+            "backlog_limit": 11600.0,
+            "drain_grace": 14 * SECOND,
+            "cold_time": WARM,
+            "cold_share": SHARE,
+            "fall_multiple": MULTIPLE,
+            "standing_lines": 5,
+            "proxies_expected": COORDINATORS * PROXIES,
+        }
+        self.storms = [
+            Storm(BACKENDS, 3, planners=COORDINATORS, slowed=slowed, **settings) for _ in range(COORDINATORS)
+        ]
         self.since = dict.fromkeys(self.storms[0].ready, 0)
         for storm in self.storms:
             for proxy in range(PROXIES):
@@ -49,8 +58,16 @@
                 done = min(1.0, self.can(name) / load) if answers is None else answers
                 for zone in ("z0", "z1", "z2"):
                     storm.coordinator.report(
-                        storm.now, "heard", zone=zone, backend=name, tries=20, failed=int(20 * (1 - done)),
-                        mean=SECOND // 10, window=SECOND, load={})
+                        storm.now,
+                        "heard",
+                        zone=zone,
+                        backend=name,
+                        tries=20,
+                        failed=int(20 * (1 - done)),
+                        mean=SECOND // 10,
+                        window=SECOND,
+                        load={},
+                    )
             storm.run(1)
         return met
 
@@ -90,13 +107,18 @@
     assert sum(met[name] for name in new) > 0.6 * sum(fleet.can(name) for name in new) * LOAD
 
 
-STEPS = st.lists(st.one_of(
-    st.tuples(st.just("release"), st.integers(1, 8)),  # so many are replaced, told to all
-    st.tuples(st.just("whole"), st.integers(0, 4)),    # this one gets a whole list
-    st.tuples(st.just("back"), st.integers(1, 6)),     # those that drained last return under their names
-    st.tuples(st.just("short"), st.integers(1, 10)),   # a whole list that leaves so many out, at one
-    st.tuples(st.just("dies"), st.integers(0, 4)),     # its proxies join the next one with their tables
-    st.tuples(st.just("reports"), st.integers(0, 20))), min_size=1, max_size=10)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("release"), st.integers(1, 8)),  # so many are replaced, told to all
+        st.tuples(st.just("whole"), st.integers(0, 4)),  # this one gets a whole list
+        st.tuples(st.just("back"), st.integers(1, 6)),  # those that drained last return under their names
+        st.tuples(st.just("short"), st.integers(1, 10)),  # a whole list that leaves so many out, at one
+        st.tuples(st.just("dies"), st.integers(0, 4)),  # its proxies join the next one with their tables
+        st.tuples(st.just("reports"), st.integers(0, 20)),
+    ),
+    min_size=1,
+    max_size=10,
+)
 
 
 def answered(storm, names):
@@ -108,9 +130,19 @@
 @given(STEPS, st.integers(2, 5), st.integers(2, 12), st.integers(6, 40))
 def test_whatever_order_losses_lists_and_late_reports_come_in(steps, coordinators, proxies, backends):
     # Each turn checks that what waits is booked and within the limit, and that no planner failed
-    storms = [Storm(backends, 3, planners=coordinators, lines_per_s=900.0, backlog_limit=6000.0, probes=True,
-                    proxies_expected=coordinators * proxies, drain_grace=6 * SECOND)
-              for _ in range(coordinators)]
+    storms = [
+        Storm(
+            backends,
+            3,
+            planners=coordinators,
+            lines_per_s=900.0,
+            backlog_limit=6000.0,
+            probes=True,
+            proxies_expected=coordinators * proxies,
+            drain_grace=6 * SECOND,
+        )
+        for _ in range(coordinators)
+    ]
     for number, storm in enumerate(storms):
         for proxy in range(proxies):
             storm.join(number * proxies + proxy)
@@ -147,8 +179,17 @@
         else:
             for storm in storms:
                 for name in storm.ready[:number] + gone[:2]:
-                    storm.coordinator.report(storm.now, "heard", zone="z0", backend=name, tries=9,
-                                             failed=number % 10, mean=SECOND // 5, window=9 * SECOND, load={})
+                    storm.coordinator.report(
+                        storm.now,
+                        "heard",
+                        zone="z0",
+                        backend=name,
+                        tries=9,
+                        failed=number % 10,
+                        mean=SECOND // 5,
+                        window=9 * SECOND,
+                        load={},
+                    )
         for storm in storms:
             storm.run(1)
     for storm in storms:
@@ -175,8 +216,16 @@
                     continue
                 times = 3 if storm is part else 1
                 storm.coordinator.report(
-                    storm.now, "heard", zone="z0", backend=name, tries=20 * times, window=times * SECOND,
-                    load={}, failed=(number % 5 == 0) * 2 * times, mean=SECOND // 10 * (1 + number % 4))
+                    storm.now,
+                    "heard",
+                    zone="z0",
+                    backend=name,
+                    tries=20 * times,
+                    window=times * SECOND,
+                    load={},
+                    failed=(number % 5 == 0) * 2 * times,
+                    mean=SECOND // 10 * (1 + number % 4),
+                )
             storm.run(1)
     (met, _), (expected, _) = part.holds[0], whole.holds[0]
     assert set(met) == set(expected) == set(whole.ready)
