--- /dev/null
+++ b/granitespool/scale/__init__.py
@@ -0,0 +1,1 @@
+"""Proof at scale on one machine: hollow and real coordinators, stand-ins, a rule checker, cost fits."""
