Work by what changed: the planner looks only at records that something moved

Cause: each flush walked every backend, zone and table whatever had changed (Subsets.lines_of, asked for by Planner._moves; _costs and _round walked every link). Change: granitespool/routing/worklist.py holds which records and lines something has changed; resting.py groups lines that follow from shared means and judges a group once, after a mean has moved; costs.py keeps costs of links that heard enough; records.py has the two records, links made where something is met. Subsets are assigned from the records that changed, levels ordered where they are not as ordered. Decisions are the same: tests/test_worklist.py plays drawn fleets against the former text, kept plain in tests/reference, call by call.

--- a/granitespool/facade.py
+++ b/granitespool/facade.py
@@ -12,7 +12,7 @@
 import heapq
 import traceback
 
-from granitespool.rules import MET, REMEMBERED, Planner
+from granitespool.rules import KEEP, MET, REMEMBERED, Planner
 
 # Parties other than the proxies, which are numbers: what they are given to do, say, write down or forget
 PROBES, PEERS, REMARKS, GONE = "probes", "peers", "remarks", "gone"
@@ -84,18 +84,16 @@
         elif what == "list_news":
             # A name that was not told before was shut out by nobody, or let back by who saw it return; one
             # told again as it was has not been out. Harm: a return between two such tellings is not seen.
-            known = {name: rec.started for name, rec in self.planner.backends.items()}
-            self.suspects |= {
-                entry["backend"]
-                for entry in met["entries"]
-                if entry["phase"] != "ready"
-                or entry["started"] > known.get(entry["backend"], entry["started"])
-            }
+            self.suspects |= {entry["backend"] for entry in met["entries"] if self._may_be_out(entry)}
         if what in AS_THEY_COME:
             self._guarded(getattr(self.planner, what), *met.values())
         else:
             self._guarded(getattr(self.planner, what), **met)
 
+    def _may_be_out(self, entry):
+        known = self.planner.backends.get(entry["backend"])
+        return entry["phase"] != "ready" or known is not None and entry["started"] > known.started
+
     def _forget_party(self, proxy):
         for kept in (self.proxies, self.waiting, self.touched, self.loose, *self.users.values()):
             kept.pop(proxy, None)
@@ -116,7 +114,8 @@
                         "low": link.lows[0] if link.lows else None,
                         **{key: getattr(link, key) for key in MET},
                     }
-                    for zone, link in rec.links.items()
+                    for zone in self.planner.tables
+                    for link in (rec.link_as_of(zone, self.planner.period, KEEP),)
                 },
             )
             for rec in map(self.planner.backends.get, backends)
@@ -154,7 +153,7 @@
             {
                 zone: (
                     max(rec.sent.get(table, 0.0) for table in tables),
-                    link and link.cost,
+                    self.planner.costs.of(rec, zone),
                     bool(link) and link.cut_at is not None,
                     backend in self.withdrawn,
                 )
--- a/granitespool/routing/subsets.py
+++ b/granitespool/routing/subsets.py
@@ -24,13 +24,22 @@
 
 
 class Subsets:
+    """Which subset each backend is in, and the tables of each zone."""
+
     def __init__(self, zones):
         self.count, self.split_for = 1, 0
-        self.tables, self.number = {}, 0  # zone -> its tables; how many there are
+        self.tables, self.places = {}, []  # zone -> its tables; table -> (zone, its position there)
         self.proxies, self.loads = Counter(), Counter()  # table -> who is or will be on it; their rates
         for zone in zones:
             self.know(zone)
         self.sizes, self.like = Counter(), Counter()  # subset -> its backends; (subset, zone, kind) -> those
+        self.ready, self.proven = {}, {}  # id -> record: ready ones; those of them that have answered
+        self.all_unproven = True  # so it was at the last call
+
+    @property
+    def number(self):
+        """How many tables there are."""
+        return len(self.places)
 
     def know(self, zone):
         """This zone, which has a table at least from now on."""
@@ -39,8 +48,9 @@
         return zone
 
     def _add(self, zone):
-        self.tables.setdefault(zone, []).append(self.number)
-        self.number += 1
+        tables = self.tables.setdefault(zone, [])
+        tables.append(self.number)
+        self.places.append((zone, len(tables) - 1))
 
     def join(self, zone, rate, channel):
         """The table for a proxy that joins: the least laden, or a further one where all have too many users
@@ -56,18 +66,34 @@
         return table
 
     def left(self, table, rate):
+        """A proxy of this table and rate is gone."""
         self.proxies[table] -= 1
         self.loads[table] = max(0.0, self.loads[table] - 1 - rate) if self.proxies[table] else 0.0
 
-    def lines_of(self, backends):
-        """Each table that holds one of these, or is to: (record, zone, table, whether it is to)."""
-        for rec in backends:
-            for zone, tables in self.tables.items():
-                mine = [] if rec.subset is None else tables[rec.subset :: self.count]
-                yield from ((rec, zone, table, True) for table in mine)
-                yield from (
-                    (rec, zone, table, False) for table in tables if rec.sent.get(table) and table not in mine
-                )
+    def held_in(self, rec, zone):
+        """The tables of a zone that are to hold this record."""
+        return [] if rec.subset is None else self.tables[zone][rec.subset :: self.count]
+
+    def zone_of(self, table):
+        """The zone that a table is of."""
+        return self.places[table][0]
+
+    def left_over(self, rec):
+        """The tables that hold this record and are not to."""
+        return [
+            table
+            for table, weight in rec.sent.items()
+            if weight and table != "out" and not self._is_held(table, rec.subset)
+        ]
+
+    def _is_held(self, table, subset):
+        return subset is not None and self.places[table][1] % self.count == subset
+
+    def lines_of(self, rec):
+        """Each table that holds this record, or is to: (zone, table, whether it is to)."""
+        for zone in self.tables:
+            yield from ((zone, table, True) for table in self.held_in(rec, zone))
+        yield from ((self.zone_of(table), table, False) for table in self.left_over(rec))
 
     def wanted(self, settings, channel, fleet):
         """How many subsets the channel asks for."""
@@ -82,46 +108,81 @@
         lines = int(PART * channel.pace * grace / SECOND / takers - fixed)  # figures may be told as 3.0
         return 1 if lines >= fleet else max(1, fleet // max(LEAST, lines))
 
-    def assign(self, settings, channel, backends):
-        """Gives every ready backend its subset, and takes it from the others."""
+    def assign(self, settings, channel, backends, changed=None):
+        """Gives every ready backend its subset, and takes it from the others; returns those whose tables are
+        others now: all where the fleet was split anew. `changed`: the only records whose phase, zone, kind or
+        answering changed since the last call, where that is known."""
+        if changed is None:
+            self.ready, self.proven = {}, {}
+        self._sort(backends if changed is None else changed)
         # A list may name what is not there: who has not answered yet is in no subset as long as any has.
         # Harm: a fleet of which few have answered is split anew once the others do.
-        ready = [rec for rec in backends if rec.phase == "ready"]
-        ready = [rec for rec in ready if rec.proven] or ready
-        anew = not self.split_for / RESPLIT <= len(ready) <= self.split_for * RESPLIT
+        able = self.proven or self.ready
+        anew = not self.split_for / RESPLIT <= len(able) <= self.split_for * RESPLIT
         if anew:
-            self.split_for, self.count = len(ready), self.wanted(settings, channel, len(ready))
-        for rec in backends:
-            rec.subset = None if anew or rec.phase != "ready" or not rec.proven else rec.subset
-        self.sizes, self.like = Counter(), Counter()
-        for rec in ready:
+            self.split_for, self.count = len(able), self.wanted(settings, channel, len(able))
+        if anew or not self.proven or changed is None or self.all_unproven:
+            changed = list(backends)
+            self.sizes, self.like = Counter(), Counter()
+            for rec in changed:
+                rec.counted = None
+        self.all_unproven = not self.proven
+        before = [(rec, rec.subset) for rec in changed]
+        for rec in changed:
+            self._take(rec)
+            rec.subset = None if anew or rec.id not in self.proven else rec.subset
             if rec.subset is not None:
                 self._give(rec, rec.subset)
-        for rec in ready:
-            if rec.subset is None:
-                self._give(
-                    rec,
-                    min(
-                        range(self.count),
-                        key=lambda subset: (
-                            self.like[subset, rec.zone, rec.kind],
-                            self.sizes[subset],
-                            subset,
-                        ),
-                    ),
-                )
+        for rec in changed:
+            if rec.subset is None and rec.id in able:
+                self._give(rec, self._smallest(rec))
+        before += self._evened(able)
+        return [rec for rec, subset in before if anew or rec.subset != subset]
+
+    def _sort(self, records):
+        for rec in records:
+            for held, holds in (
+                (self.ready, rec.phase == "ready"),
+                (self.proven, rec.phase == "ready" and rec.proven),
+            ):
+                if holds:
+                    held[rec.id] = rec
+                else:
+                    held.pop(rec.id, None)
+
+    def _smallest(self, rec):
+        """The subset with the fewest like this one, and of those the one with the fewest."""
+        return min(
+            range(self.count),
+            key=lambda subset: (self.like[subset, rec.zone, rec.kind], self.sizes[subset], subset),
+        )
+
+    def _evened(self, able):
+        """Moves records from the largest subset to the smallest until they are even; those, with the former
+        subset of each."""
+        moved = []
         while self.count > 1:
-            large, small = (pick(range(self.count), key=self.sizes.__getitem__) for pick in (max, min))
+            large = max(range(self.count), key=self.sizes.__getitem__)
+            small = min(range(self.count), key=self.sizes.__getitem__)
             if self.sizes[large] <= UNEVEN * self.sizes[small] + 1:
-                return
+                break
             rec = max(
-                (rec for rec in ready if rec.subset == large),
-                key=lambda rec: self.like[large, rec.zone, rec.kind],
+                (rec for rec in able.values() if rec.subset == large),
+                key=lambda rec: (self.like[large, rec.zone, rec.kind], -rec.order),
             )
-            self._give(rec, large, -1)
+            moved.append((rec, large))
+            self._take(rec)
             self._give(rec, small)
+        return moved
 
-    def _give(self, rec, subset, one=1):
+    def _give(self, rec, subset):
         rec.subset = subset
-        self.sizes[subset] += one
-        self.like[subset, rec.zone, rec.kind] += one
+        rec.counted = subset, rec.zone, rec.kind
+        self.sizes[subset] += 1
+        self.like[rec.counted] += 1
+
+    def _take(self, rec):
+        if rec.counted is not None:
+            self.sizes[rec.counted[0]] -= 1
+            self.like[rec.counted] -= 1
+            rec.counted = None
--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -4,11 +4,15 @@
 whole nanoseconds, and it acts by calling the host at once (granitespool/host.py; docs/design.md)."""
 
 import math
-from collections import Counter, defaultdict, deque
+from collections import Counter, defaultdict
+from itertools import chain
 from random import Random
 
 from granitespool.channel import Channel
+from granitespool.routing.costs import Costs
+from granitespool.routing.records import Backend, Link
 from granitespool.routing.subsets import Subsets
+from granitespool.routing.worklist import BY_ORDER, Worklist
 
 SECOND = 1_000_000_000  # ns
 ALPHA = 0.5  # per percent: steepness of f(u), the paper's
@@ -62,39 +66,19 @@
 SAVED = 5  # s of the channel's pace that ordinary changes may save up: the design page's period
 
 
-class Link:  # what the proxies of one zone met at a backend, and what that makes of it
-    def __init__(self):
-        self.tries = self.failed = self.answered = self.time = self.heard = 0.0
-        self.lows, self.spare = deque(), False  # means of the last minute; cut only down to a last resort
-        self.over = self.streak = 0  # reports running over; tries running that failed
-        self.cut_at = self.ramp_from = self.cost = None
-        self.recalled = False  # its sums are what a former life had met
-
-    def fade(self, part):
-        self.tries, self.failed = self.tries * part, self.failed * part
-        self.answered, self.time = self.answered * part, self.time * part
-
-
-class Backend:  # the one record of a backend
-    def __init__(self, backend, now):
-        self.id, self.zone, self.kind, self.phase = backend, None, None, "gone"
-        self.listed, self.started, self.ramp_from, self.probed_at = 1.0, 0, None, -PERIOD
-        self.links, self.sent, self.subset = defaultdict(Link), {}, None  # subset: where the fleet is split
-        self.tried = self.missed = self.done = self.spent = 0.0
-        self.missing, self.proven, self.gone_at = False, True, now  # gone by the list alone; answers; when
-
-
 class Planner:
     def __init__(self, host, now, seed, settings):
         self.host, self.jitter, self.channel = host, Random(seed).uniform, Channel()
-        self.new_settings(now, settings)
-        self.backends, self.proxies, self.average = {}, {}, {}  # id -> Backend, (table, rate); zone -> ns
+        self.backends, self.proxies, self.costs = {}, {}, Costs()  # id -> Backend, (table, rate)
         self.unbound, self.flushed_at = {}, -1  # proxy yet to be bound -> (others' lines it holds, since)
         self.subsets = Subsets(settings.get("zones") or [])
+        self.work, self.period, self.born = Worklist(self.subsets), 0, 0  # rounds and backends so far
         self.tables = self.subsets.tables  # zone -> its tables, one for each subset of the fleet
         self.lines, self.users = Counter(), defaultdict(dict)  # table -> its lines; proxies bound to it
+        self.let_in, self.leveled = None, set()  # shares and retries last decided; tables that have them
         self.levels, self.slices = defaultdict(dict), {}  # table -> {class: as sent}; slice held -> lines
         self.next_flush = self.next_alarm = self.flush_due = self.lag = self.shut_at = self.doubt = 0
+        self.new_settings(now, settings)
         self.credit = SAVED * settings.get("lines_per_s", 1e9)  # lines for ordinary changes
         self.short = self.later = self.listed_once = self.strained = self.bare = False
         self.through, self.room, self.asked = 1.0, 1.0, {}  # answered part of tries; let-in part; by class
@@ -106,6 +90,8 @@
         self.settings = settings  # read where needed, so they act from the next decision on
         self.channel.new_settings(settings)
         self.classes = [{"promised_time": SECOND, "benefit": 1, **c} for c in settings.get("classes") or []]
+        self.let_in = None
+        self.work.new_settings(self.backends.values())
 
     def list_news(self, now, form, entries):
         if form == "failed":
@@ -113,16 +99,25 @@
         for entry in entries:
             self._entry(now, **entry)
         seen = {entry["backend"] for entry in entries}
-        for rec in [rec for rec in self.backends.values() if form != "changes" and rec.id not in seen]:
-            self._entry(now, rec.id, rec.zone, rec.kind, None, "gone", rec.listed, 0)
+        for rec in [] if form == "changes" else list(self.backends.values()):
+            if rec.id not in seen:
+                self._entry(now, rec.id, rec.zone, rec.kind, None, "gone", rec.listed, 0)
         self.listed_once = True
-        self.subsets.assign(self.settings, self.channel, self.backends.values())
+        self._assign()
         self._flush(now)
 
+    def _assign(self):
+        backends, changed = self.backends.values(), self.work.take_changed()
+        for rec in self.subsets.assign(self.settings, self.channel, backends, changed):
+            self.work.unsettle(rec)
+
     def _entry(self, now, backend, zone, kind, cell, phase, weight, started):
         rec = self.backends.get(backend)
+        told = rec and (rec.zone, rec.kind, rec.phase, rec.listed, rec.started)
         if rec is None:
-            rec = self.backends[backend] = Backend(backend, now)
+            self.born += 1
+            rec = self.backends[backend] = Backend(backend, now, self.born, -PERIOD)
+            self.costs.began(rec)
         # Where only a drain binds, a probe checks a list that drops a server: it may be old or wrong. Harm:
         # one that died is kept until the probe, or the reports, tell.
         rec.missing = phase == "gone" and rec.phase == "ready" and self.settings.get("drain_needs_entry")
@@ -133,15 +128,19 @@
             # A list may name what is not there: who is new earns its ramp by an answer, where probes tell. In
             # the first list only those still cold are new; they start over: a storm may be on, levels lost.
             cold = started and now - started < self.settings.get("cold_time", 0)
-            rec.links.clear()
+            self.costs.began(rec)
             rec.ramp_from = now if self.listed_once or cold else None
             rec.proven = not (self.listed_once and self.settings.get("probes"))
             if not rec.proven:
                 self._probe(now, rec, True)
             if cold and not self.listed_once:
                 self.through = START_THROUGH
+        if kind != rec.kind and rec.costed:
+            self.costs.keep(rec, [(zone, rec.link(zone, self.period)) for zone in self.tables])
         rec.zone, rec.kind, rec.phase, rec.started = zone, kind, phase, max(started, rec.started)
         rec.listed = weight if weight > 0 else 1.0
+        if told != (rec.zone, rec.kind, rec.phase, rec.listed, rec.started):
+            self.work.changes(rec)
 
     def timer(self, now, cookie):
         if cookie == "round":
@@ -154,52 +153,49 @@
             self.host.observe(True)
 
     def _costs(self, now):
+        self.costs.look()
         for zone in self.tables:
-            kinds = defaultdict(list)
-            for rec in self.backends.values():
-                link = rec.links[zone]
-                link.cost = self._cost(now, rec, link)
-                if link.cost is not None and rec.phase == "ready" and link.cut_at is None:
-                    kinds[rec.kind].append(link.cost)
-                link.heard = link.answered if link.cost else 0.0
-            costs = sum(kinds.values(), [])
-            self.average[zone] = sum(costs) / len(costs) if costs else None
-            for rec in self.backends.values():
-                link, like = rec.links[zone], kinds.get(rec.kind)
-                if like:
-                    cost = (link.cost or 0) * link.heard + sum(like) / len(like) * PRIOR
-                    link.cost = cost / (link.heard + PRIOR)
+            heard = self.work.heard_costs(zone, lambda link: self._cost(now, link))
+            if self.costs.share(zone, heard, PRIOR):
+                self.work.means_moved(zone)
 
     def _round(self, now):
         self._costs(now)
         pace = self.channel.met
         self.credit = min(self.credit + ORDINARY * pace * PERIOD / SECOND, SAVED * pace)
         self._strain(now)
-        for rec in list(self.backends.values()):
+        self.period += 1
+        for zone, heard in self.work.heard.items():
+            for rec in heard:
+                rec.links[zone].fade_to(self.period, KEEP)
+        for rec in self.work.in_turn():
             if rec.phase == "ready" and not rec.proven:
                 self._probe(now, rec)
-            for zone, link in rec.links.items():
-                link.fade(KEEP)
-                if link.cut_at is not None:
-                    self._probe(now, rec)
-                    if not link.spare and now - link.cut_at >= UNHEARD_PERIODS * PERIOD:
-                        rec.links[zone] = Link()
-                        rec.links[zone].ramp_from = now
+            self._cut_links(now, rec)
             if rec.phase == "gone" and not any(rec.sent.values()) and now - rec.gone_at > GONE_KEPT:
-                self.host.forget(self.backends.pop(rec.id).id)  # the one place; no table or shut-out names it
+                self.work.forget(rec)  # the one place; no table or shut-out names it
+                self.host.forget(self.backends.pop(rec.id).id)
         self.channel.expire(now)
         self._flush(now)
 
-    def _cost(self, now, rec, link):
+    def _cut_links(self, now, rec):
+        """Probes a record that has cut links; those unheard for long enough come back."""
+        cut = [(zone, link) for zone, link in rec.links.items() if link.cut_at is not None]
+        if not cut:
+            self.work.cut.pop(rec, None)
+        for zone, link in cut:
+            self._probe(now, rec)
+            if not link.spare and now - link.cut_at >= UNHEARD_PERIODS * PERIOD:
+                link = rec.links[zone] = Link(self.period)
+                link.ramp_from = now
+                self.costs.replaced(link)
+
+    def _cost(self, now, link):
         """W = (p*2*RTT + (1-p)*RTT) * f(u), or None where too little was heard."""
         if link.answered < HEARD_LEAST:
             return None
         rtt, errors = link.time / link.answered, link.failed / link.tries
-        while link.lows and link.lows[-1][1] >= rtt:  # the lowest stays at the front
-            link.lows.pop()
-        link.lows.append((now, rtt))
-        while link.lows[0][0] < now - LOWEST_SPAN:
-            link.lows.popleft()
+        link.keep_lowest(now, rtt, LOWEST_SPAN)
         if self.strained or self.room < 1:
             rtt = link.lows[0][1]
         u = self._utilization(link, rtt)
@@ -210,7 +206,7 @@
 
     def _strain(self, now):
         """Strain is trouble of the fleet, told by the middle try's server; failures alone are none."""
-        heard = [rec for rec in self.backends.values() if rec.tried >= 1]
+        heard = [rec for rec in sorted(self.work.recent, key=BY_ORDER) if rec.tried >= 1]
         tries, asked = sum(rec.tried for rec in heard), sum(self.asked.values())
         if tries >= LOOK_LEAST:
             mean, half = 0.0, sum(rec.done for rec in heard) / 2
@@ -228,9 +224,10 @@
         if self.doubt and (tries >= LOOK_LEAST or now >= self.doubt):
             self.strained, self.doubt = self.strained and tries >= LOOK_LEAST, 0
             self.room = self.room if self.strained else 1.0  # who is calm has nothing to ease
-        for rec in self.backends.values():
-            rec.tried, rec.missed = rec.tried * RECENT, rec.missed * RECENT
-            rec.done, rec.spent = rec.done * RECENT, rec.spent * RECENT
+        for rec in list(self.work.recent):
+            rec.fade(RECENT)
+            if not (rec.tried or rec.spent):
+                del self.work.recent[rec]
         self.asked = {name: number * RECENT for name, number in self.asked.items()}
 
     def _shares(self):
@@ -252,7 +249,9 @@
         rec = self.backends.get(backend)
         if rec is None or tries <= 0:
             return
-        link = rec.links[self.subsets.know(zone)]
+        link = rec.link(self.subsets.know(zone), self.period)
+        link.fade_to(self.period, KEEP)
+        self.work.recent[rec] = None
         answered = max(0, tries - failed) if mean > 0 else 0
         if answered:
             self._prove(now, rec)
@@ -263,10 +262,10 @@
             if moved or not 1 / DISAGREE < ratio < DISAGREE:
                 link.fade(0.0)
                 link.lows.clear()
-        link.tries, link.failed = link.tries + tries, link.failed + min(failed, tries)
-        link.answered, link.time = link.answered + answered, link.time + answered * mean
-        rec.tried, rec.missed = rec.tried + tries, rec.missed + min(failed, tries)
-        rec.done, rec.spent = rec.done + answered, rec.spent + answered * mean
+        link.meet(tries, min(failed, tries), answered, answered * mean)
+        rec.meet(tries, min(failed, tries), answered, answered * mean)
+        if link.answered >= HEARD_LEAST:
+            self.work.hears(rec, zone)
         # Failures alone are an alarm like u over 80%, once enough tries stand behind it: for quick errors,
         # hangs, silence, a cut link. u is none while the fleet strains: a cut would only move load.
         link.streak = 0 if failed < tries else link.streak + tries
@@ -285,18 +284,20 @@
     def _cut(self, now, zone, rec):
         # Past the cap a server stays as a last resort: a few tries tell when it heals, or all weigh alike
         ready = [
-            each.links[zone]
+            each.links.get(zone)
             for each in self.backends.values()
             if each.phase == "ready" and each.subset == rec.subset
         ]
-        out = sum(1 for each in ready if each.cut_at is not None and not each.spare)
-        link = rec.links[zone]
+        out = sum(1 for each in ready if each and each.cut_at is not None and not each.spare)
+        link, self.work.cut[rec] = rec.link(zone, self.period), None
+        self.work.watch(rec, zone)
         link.spare, link.cut_at = (out + 1) * CUT_SHARE > len(ready), now
 
     def _prove(self, now, rec):
         if not rec.proven:
             rec.proven, rec.ramp_from = True, now
-            self.subsets.assign(self.settings, self.channel, self.backends.values())
+            self.work.changes(rec)
+            self._assign()
             self._flush(now, rec)
 
     def _probe(self, now, rec, at_once=False):
@@ -316,6 +317,7 @@
     def _silent(self, now, rec, late):
         if rec.missing:
             rec.missing, rec.phase, rec.gone_at = False, "gone", now
+            self.work.changes(rec)
         for zone, link in rec.links.items():
             if link.cut_at is not None:
                 link.cut_at = now
@@ -373,14 +375,15 @@
             rec = self.backends[backend]
             rec.ramp_from, rec.missing = rec.ramp_from or kept["ramp_from"], kept["missing"]
             rec.proven = kept["proven"] or not self.settings.get("probes")
+            self.work.changes(rec)
             if rec.missing or not rec.proven:
                 self._probe(now, rec, True)
             for zone, met in links.items():
-                link = rec.links[zone]
+                link = rec.link(zone, self.period)
                 if not link.tries:
-                    for key in MET:
-                        setattr(link, key, met[key])
-                    link.lows, link.recalled = deque([met["low"]] if met["low"] else ()), link.tries > 0
+                    link.recall(self.period, {key: met[key] for key in MET}, met["low"])
+                    if link.answered >= HEARD_LEAST:
+                        self.work.hears(rec, zone)
                     if link.cut_at is not None:
                         link.cut_at = None
                         self._cut(now, zone, rec)
@@ -402,24 +405,29 @@
         age = 1 if rec.ramp_from is None else min(1, (now - rec.started) / max(1, whole))
         return share + (1 - share) * age
 
+    def _ramp(self, now, since):
+        pace = max(1, min(RAMP_STEP, self.settings.get("cold_time", 2 * RAMP_STEP) // 2))
+        least = max(RAMP_START, self.settings.get("cold_share", 0))
+        return least * 2.0 ** min(RAMP_DONE, (now - since) // pace)
+
     def _want(self, now, rec, zone):
-        link, average, part = rec.links[zone], self.average.get(zone), 1.0
-        out = link.cut_at is not None and not link.spare or rec.sent.get("out", False) is not False
+        link, average, part = rec.links.get(zone), self.costs.average.get(zone), 1.0
+        cut = link is not None and link.cut_at is not None
+        out = cut and not link.spare or rec.sent.get("out", False) is not False
         if out or rec.phase != "ready" or not (rec.proven or self.bare):
             return 0.0
-        for since in (rec.ramp_from, link.ramp_from):
+        for since in (rec.ramp_from, link.ramp_from if link else None):
             if since is not None:  # who is new does its whole part once it is warm
-                pace = max(1, min(RAMP_STEP, self.settings.get("cold_time", 2 * RAMP_STEP) // 2))
-                least = max(RAMP_START, self.settings.get("cold_share", 0))
-                part = min(part, least * 2.0 ** min(RAMP_DONE, (now - since) // pace))
-        if link.cut_at is not None:
+                part = min(part, self._ramp(now, since))
+        if cut:
             part = min(part, LAST_RESORT)
+        known = self.costs.of(rec, zone)
         if (warm := self.warm(now, rec)) < 1:
             # In a storm of tries a quarter weight is many times a quarter of the work: a cold server gets its
             # part of what is answered, or by its warmth what the rule lets pass. Harm: it warms with less.
             part = min(part, self.through * max(part, GUARD * self.settings.get("fall_multiple", 0) * warm))
-            average = min(average or 0, link.cost or 0)  # an idle cold server answers fast: no more for that
-        cost = average / link.cost if average and link.cost else 1.0
+            average = min(average or 0, known or 0)  # an idle cold server answers fast: no more for that
+        cost = average / known if average and known else 1.0
         return max(LEAST_WEIGHT, round(rec.listed * cost * part, 4))
 
     def _flush(self, now, only=None):
@@ -433,7 +441,7 @@
         self.short = self.later = False  # later: something is held back for the next alarm
         if not only:
             self._shut_out(now)
-        moves, brings = list(self._moves(now, only)), Counter()
+        moves, brings = list(self._moves(now, self._lines(now, only), only)), Counter()
         for urgency, rank, _, table, _, _ in moves:  # a table's lines go together: one head
             brings[table] += urgency and rank
         moves.sort(key=lambda move: (move[0], move[0] and brings[move[3]], move))
@@ -458,14 +466,15 @@
             touched.add(table)
             self._order(now, users, self.host.weigh, table, rec.id, want, more=back)
             self.lines[table] += bool(want) - bool(rec.sent.get(table))
-            rec.sent[table] = want
+            self.work.sent(rec, table, want)
         if not only:
+            self.work.settle(
+                lambda rec: self.warm(now, rec) >= 1,
+                lambda since: since is None or self._ramp(now, since) >= 1,
+            )
             self._shut_out(now)
-        shares = () if only or held else self._shares()
-        for table in sum(self.tables.values(), []):
-            cost = len(self.users[table]) * (len(self.classes) + self.channel.head)
-            if shares and self.channel.room(0.5, AHEAD) > 0 and cost <= self.channel.room(RULE_PART):
-                self._levels(now, table, shares)
+        if not only and not held:
+            self._let_in(now)
         if self.channel.serial != before:
             self.flushed_at, self.next_flush = now, now + int(MESSAGE_ROOM * self.channel.message_gap)
             if not held:
@@ -475,13 +484,23 @@
             self._flush_at(self.next_flush if self.short else self.next_alarm, now)
         self._bind_next(now)
 
-    def _moves(self, now, only):
+    def _lines(self, now, only):
+        """The lines that may differ from the wanted tables; of one backend all."""
+        if only:
+            return [(only, *line) for line in self.subsets.lines_of(only)]
+
+        def moves(want, sent):
+            return want != sent and (not sent or abs(want - sent) > RESEND * sent)
+
+        return self.work.lines(self.backends.values(), lambda rec, zone: self._want(now, rec, zone), moves)
+
+    def _moves(self, now, lines, only):
         """Lines that differ from the wanted tables, ranked: a rule's by age, others by the weight moved."""
         self.bare = not any(rec.phase == "ready" and rec.proven for rec in self.backends.values())
-        for rec, zone, table, holds in self.subsets.lines_of((only,) if only else self.backends.values()):
+        for rec, zone, table, holds in lines:
             want, sent = self._want(now, rec, zone) if holds else 0.0, rec.sent.get(table, 0.0)
             less, moved = want < sent * (1 - RESEND), abs(want - sent)
-            cut = rec.links[zone].cut_at is not None
+            cut = zone in rec.links and rec.links[zone].cut_at is not None
             alarm = not want or not sent or less and (cut or self.warm(now, rec) < 1)
             if want != sent and (rec.phase != "ready" or not self.lines[table]):
                 yield 0, (rec.gone_at, table), rec.id, table, want, False
@@ -506,8 +525,11 @@
             for proxy in self.unbound
         )
         late = self.channel.takes(work) > IN_TIME * self.settings.get("drain_grace", 0)
-        order = sorted(self.backends.values(), key=lambda rec: (max(rec.gone_at, self.shut_at), -rec.gone_at))
-        for rec in order:
+        absent = sorted(self.work.absent, key=BY_ORDER)
+        for rec in sorted(absent, key=lambda rec: (max(rec.gone_at, self.shut_at), -rec.gone_at)):
+            if rec.phase == "ready" and rec.sent.get("out", False) is False:
+                del self.work.absent[rec]
+                continue
             out, recent = rec.sent.get("out", False), now - rec.gone_at < KEPT * grace
             if out and recent and waits >= TOGETHER * grace:
                 out = rec.sent["out"] = None  # not told to all
@@ -531,11 +553,23 @@
         for proxy, number in lines.items() if fits else ():
             self._count(now, proxy, number)
 
-    def _levels(self, now, table, shares):
+    def _let_in(self, now):
+        """Orders what is let in of each class, as far as there is room, where it is not as ordered."""
+        # In a storm each further try adds to it; else one, of what provably never ran: no effect twice.
+        let_in = self._shares(), 0 if self.strained else 1
+        if let_in != self.let_in:
+            self.let_in, self.leveled = let_in, set()
+        for table in chain.from_iterable(self.tables.values()):
+            cost = len(self.users[table]) * (len(self.classes) + self.channel.head)
+            if table in self.leveled or not self.classes or self.channel.room(0.5, AHEAD) <= 0:
+                continue
+            if cost <= self.channel.room(RULE_PART):
+                self._levels(now, table, *let_in)
+                self.leveled.add(table)
+
+    def _levels(self, now, table, shares, retries):
         sent = self.levels[table]
         for position, kind in enumerate(self.classes):
-            # In a storm each further try adds to it; else one, of what provably never ran: no effect twice.
-            retries = 0 if self.strained else 1
             share, had = shares[position], sent.get(position, (1.0, self.settings.get("usual_retry", 0)))
             if had != (share, retries):
                 sent[position] = share, retries
--- /dev/null
+++ b/tests/test_worklist.py
@@ -0,0 +1,287 @@
+"""The planner looks only at what changed, and decides as its plain reference that walks everything."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twins import SECOND, Twins
+
+from granitespool.channel import Channel
+from granitespool.routing.costs import Costs
+from granitespool.routing.records import EXACT_PERIODS, Backend, Link
+from granitespool.routing.resting import RestingLines
+from granitespool.routing.subsets import Subsets
+from granitespool.rules import KEEP, Planner
+
+PACES = 200.0, 2000.0, 100_000.0  # lines a second: from a channel that is always behind to one never
+SEEDS = st.integers(0, 10**6)
+
+
+def played(twins, events):
+    for _ in range(events):
+        twins.event()
+        twins.run(twins.random.choice((1, 3, 12)))
+    return twins
+
+
+@settings(max_examples=120, deadline=None, derandomize=True)
+@given(SEEDS, st.integers(3, 40), st.integers(1, 6), st.integers(1, 20), st.sampled_from(PACES))
+def test_small_drawn_fleets_are_decided_on_as_by_the_reference(seed, backends, zones, proxies, pace):
+    assert played(Twins(seed, backends, zones, proxies, pace), 25).ordered
+
+
+@settings(max_examples=10, deadline=None, derandomize=True)
+@given(SEEDS, st.integers(100, 200), st.integers(8, 50), st.sampled_from(PACES))
+def test_large_drawn_fleets_are_decided_on_as_by_the_reference(seed, backends, zones, pace):
+    assert played(Twins(seed, backends, zones, 20, pace), 8).ordered
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(SEEDS, st.integers(45, 80), st.sampled_from((300.0, 2000.0)))
+def test_drawn_fleets_in_subsets_are_decided_on_as_by_the_reference(seed, backends, pace):
+    twins = Twins(seed, backends, 3, 40, pace, drain_grace=SECOND)
+    twins.run(40)
+    assert twins.changed.planner.subsets.count > 1
+    for _ in range(8):
+        twins.event()
+        subset = twins.random.randrange(twins.changed.planner.subsets.count)
+        fleet = twins.changed.planner.backends.values()
+        held = [rec.id for rec in fleet if rec.subset == subset and rec.id in twins.entries]
+        if len(held) < len(twins.entries) - 10:  # a subset is lost, and the others make it up
+            twins.lose(held[: twins.random.randrange(len(held) + 1)])
+        twins.run(60)
+    assert twins.ordered
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_backend_past_its_ramp_and_not_yet_warm_is_decided_on_as_by_the_reference(seed):
+    twins = Twins(seed, 10, 2, 6, 1e6, cold_time=25 * SECOND)
+    twins.run(20)
+    twins.restart("s3")
+    for _ in range(30):
+        twins.run(10)
+        twins.hear(0.8, failed=0.3 * (seed % 2), but="s3", zones=twins.zones[:1])
+    assert twins.ordered
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_backend_without_a_ramp_that_starts_anew_is_decided_on_as_by_the_reference(seed):
+    twins = Twins(seed, 10, 2, 6, 1e6, cold_time=0)
+    for _ in range(6):
+        twins.hear(1.0)
+        twins.run(5)
+    for name in list(twins.entries)[:4]:
+        twins.restart(name)
+        twins.run(1 + seed * 2)
+    twins.run(40)
+    assert twins.ordered
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_what_was_heard_long_ago_counts_as_by_the_reference(seed):
+    # Links are not faded while nobody reports of them: half of the periods here are past those multiplied out
+    twins = played(Twins(seed, 12, 3, 6, 2000.0), 10)
+    for quiet in (EXACT_PERIODS - 5, EXACT_PERIODS + 30, 5):
+        twins.run(10 * quiet)
+        twins.hear(0.7)
+        twins.run(15)
+    assert twins.ordered
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_recalled_life_is_decided_on_as_by_the_reference(seed):
+    former = played(Twins(seed, 20, 3, 8, 2000.0), 15)
+    former.hear(1.0)
+    fleet, backends = former.changed.learnt(list(former.entries))
+    later = Twins(seed + 1, 20, 3, 8, 2000.0)
+    later.report(
+        "recalled",
+        fleet=fleet,
+        backends={name: each for name, each in backends.items() if name in later.entries},
+    )
+    later.run(5)
+    assert played(later, 10).ordered
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_slices_are_kept_as_by_the_reference(seed):
+    twins = Twins(seed, 10, 2, 5, 2000.0, slices=4, one_owner=bool(seed))
+    for table in range(3):
+        twins.report("slice_given", table=table, ours=True)
+        twins.report("slice_line", table=table, backend=f"s{table + 1}", weight=1.0)
+    assert played(twins, 12).ordered
+
+
+def quiet_fleet(backends, zones, proxies=5):
+    """A fleet whose lines are all at rest."""
+    twins = Twins(4, backends, zones, proxies, 1e9, planners=1, proxies_expected=proxies, cold_time=SECOND)
+    twins.run(80)
+    return twins
+
+
+def looked_at(twins, monkeypatch, act):
+    """How many weights the planner works out while this is done."""
+    counted, want = Counter(), Planner._want
+
+    def counting(planner, *words):
+        counted[planner] += 1
+        return want(planner, *words)
+
+    with monkeypatch.context() as patched:
+        patched.setattr(Planner, "_want", counting)
+        act()
+    return counted[twins.changed.planner]
+
+
+@pytest.mark.parametrize("backends, zones", [(50, 4), (300, 4), (300, 16)])
+def test_nothing_is_looked_at_in_an_idle_second(backends, zones, monkeypatch):
+    twins = quiet_fleet(backends, zones)
+    assert looked_at(twins, monkeypatch, lambda: twins.run(30)) == 0
+
+
+def test_the_work_for_a_changed_entry_does_not_grow_with_the_fleet(monkeypatch):
+    work = []
+    for backends in (50, 400):
+        twins = quiet_fleet(backends, 6)
+        name = next(iter(twins.entries))
+
+        def change(twins=twins, name=name):
+            entry = {**twins.entries[name], "weight": 5.0}
+            twins.report("list_news", form="changes", entries=[entry])
+            twins.run(3)
+
+        work.append(looked_at(twins, monkeypatch, change))
+    assert 6 <= work[0] == work[1] <= 60
+
+
+def test_one_link_heard_is_looked_at_alone(monkeypatch):
+    twins = quiet_fleet(200, 8)
+
+    def hear():
+        twins.report("heard", zone="z1", backend="s7", tries=9, failed=0, mean=10**7, window=SECOND, load={})
+        twins.run(12)  # a round is among them
+
+    assert 1 <= looked_at(twins, monkeypatch, hear) <= 20
+
+
+def test_links_are_made_where_something_is_met():
+    twins = quiet_fleet(100, 8)
+    twins.hear(0.02)
+    links = sum(len(rec.links) for rec in twins.changed.planner.backends.values())
+    assert 1 <= links <= 50
+
+
+def test_fading_at_once_is_fading_each_period_to_the_last_digit():
+    one, other = Link(), Link()
+    for link in (one, other):
+        link.meet(7, 2, 5, 5 * 41_234_567.0)
+    for period in range(1, EXACT_PERIODS + 1):
+        other.fade_to(period, KEEP)
+    one.fade_to(EXACT_PERIODS, KEEP)
+    assert [getattr(one, name) for name in ("tries", "failed", "answered", "time")] == [
+        getattr(other, name) for name in ("tries", "failed", "answered", "time")
+    ]
+    one.fade_to(10**9, KEEP)  # a link that was unheard for years costs one step
+    assert one.tries == 0
+
+
+def record(order, zone="z0", kind="m"):
+    rec = Backend(f"s{order}", 0, order, 0)
+    rec.zone, rec.kind, rec.phase = zone, kind, "ready"
+    return rec
+
+
+def test_a_group_is_judged_once_for_all_and_again_only_with_a_cause():
+    lines, records, judged = RestingLines(), [record(number) for number in range(9)], []
+
+    def weight_of(backend, zone):
+        judged.append(backend)
+        return 1.0
+
+    def differs(want, sent):
+        return want != sent
+
+    for rec in records:
+        lines.rest(rec, "z0", (1.0,))
+    assert list(lines.unsettled(weight_of, differs)) == [] and len(judged) == 1
+    assert list(lines.unsettled(weight_of, differs)) == [] and len(judged) == 1
+    lines.means_moved("z1")
+    assert list(lines.unsettled(weight_of, differs)) == [] and len(judged) == 1
+    lines.means_moved("z0")
+    assert list(lines.unsettled(weight_of, differs)) == [] and len(judged) == 2
+    lines.wake(records[3], "z0")
+    lines.rest(records[3], "z0", (2.0,))
+    for _ in range(2):  # as long as it differs
+        assert list(lines.unsettled(weight_of, differs)) == [(records[3], "z0")]
+    lines.wake_all(records[3])
+    assert list(lines.unsettled(weight_of, differs)) == []
+
+
+def test_costs_of_what_began_after_the_last_look_are_unknown_until_the_next():
+    costs, rec, other = Costs(), record(1), record(2)
+    for each in (rec, other):
+        costs.began(each)
+    costs.look()
+    heard = [(rec, rec.link("z0", 0), 50.0)]
+    assert costs.share("z0", heard, 8.0) and costs.of(other, "z0") == 50.0
+    later = record(3)
+    costs.began(later)
+    assert costs.of(later, "z0") is None
+    costs.keep(other, [("z0", other.link("z0", 0))])
+    other.kind = "else"
+    assert costs.of(other, "z0") == 50.0  # as of the last look, whatever it is by now
+    costs.look()
+    assert not costs.share("z0", heard, 8.0)
+    assert costs.of(later, "z0") == 50.0 and costs.of(other, "z0") is None
+
+
+SLOW = {
+    "lines_per_s": 800.0,
+    "drain_grace": 36 * SECOND,
+    "proxies_expected": 1500,
+    "planners": 5,
+    "classes": [],
+}
+
+
+@settings(max_examples=40, deadline=None, derandomize=True)
+@given(SEEDS)
+def test_subsets_of_what_changed_are_those_of_the_whole_fleet(seed):
+    random, channel, pairs = Random(seed), Channel(), []
+    channel.new_settings(SLOW)
+    texts = Subsets(["z0"]), Subsets(["z0"])
+    for order in range(random.randint(20, 300)):
+        pairs.append((record(order), record(order)))
+    changed = dict.fromkeys(range(len(pairs)))
+    for _ in range(12):
+        if random.random() < 0.4:  # one subset loses most of its members
+            subset = random.randrange(texts[0].count)
+            for number in [k for k, (rec, _) in enumerate(pairs) if rec.subset == subset][1:]:
+                changed[number] = None
+                for rec in pairs[number]:
+                    rec.phase = "gone"
+        for _ in range(random.choice((0, 1, 5, 60))):
+            number = random.randrange(len(pairs))
+            what, value = random.choice(
+                (
+                    ("phase", random.choice(("ready", "draining", "gone"))),
+                    ("proven", random.random() < 0.8),
+                    ("zone", f"z{random.randrange(3)}"),
+                    ("kind", f"m{random.randrange(3)}"),
+                )
+            )
+            changed[number] = None
+            for rec in pairs[number]:
+                setattr(rec, what, value)
+        mine, theirs = [[pair[k] for pair in pairs] for k in (0, 1)]
+        split_for = texts[1].split_for
+        moved = texts[0].assign(SLOW, channel, mine, [mine[number] for number in sorted(changed)])
+        before = [rec.subset for rec in theirs]
+        texts[1].assign(SLOW, channel, theirs)
+        assert [rec.subset for rec in mine] == [rec.subset for rec in theirs]
+        others = [rec for rec, subset in zip(theirs, before) if rec.subset != subset]
+        anew = theirs if texts[1].split_for != split_for else others  # another count gives other tables
+        assert {rec.order for rec in moved} == {rec.order for rec in anew}
+        changed.clear()
