--- a/granitespool/scale/trace.py
+++ b/granitespool/scale/trace.py
@@ -49,6 +49,7 @@
 
     proxy: int
     coordinator: str
+    by_coordinator: bool = False  # it ended the stream, or lost it by what it wrote: no leaving by the rules
 
 
 class TableHeld(Event, frozen=True, kw_only=True):
@@ -73,6 +74,7 @@
     backend: str
     multiple: float
     cold: bool
+    knowing: float = 1.0  # share of it from proxies whose tables were made with knowledge of its start
 
 
 class MessageWritten(Event, frozen=True, kw_only=True):
@@ -120,3 +122,5 @@
     from_start: int = 1_000_000_000  # no time limit begins sooner after a coordinator's first answer
     parts_limit: int = 64
     part_bytes: int = 1 << 20
+    cold_time: int = 0  # since its start until a backend is warm: only a warm one must be in every table
+    drain_needs_entry: bool = False  # a backend that is gone without having drained binds nobody
