--- /dev/null
+++ b/tests/test_interleavings.py
@@ -0,0 +1,197 @@
+"""Drawn interleavings: up to five real coordinators in virtual time, judged by the checker of the rules.
+
+Joinings, losses, restarts, drains and lists of different age come in any order; the five rules must hold over
+all coordinators together. What is drawn is the same in each run."""
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from storm import SECOND
+from traced_fleet import LIMITS, Fleet, TracedStorm
+
+from granitespool.facade import Coordinator
+from granitespool.rules import Planner
+from granitespool.scale.checker import check
+from granitespool.scale.trace import (
+    BackendLoad,
+    BackendTold,
+    CoordinatorEnded,
+    CoordinatorStarted,
+    MessageWritten,
+    ProxyLeft,
+    RequestExecuted,
+    TableHeld,
+)
+
+CALM = 25  # s after the last step, in which all must come right; more where the channels are slow
+COORDINATOR = st.integers(0, 4)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("release"), st.integers(1, 8)),  # so many backends are replaced by cold ones
+        st.tuples(st.just("restart"), st.integers(1, 6)),  # so many drain, end, and come back cold
+        st.tuples(st.just("crash"), st.integers(1, 3)),  # so many end at once, and come back cold
+        st.tuples(st.just("dies"), COORDINATOR),  # its proxies go to the others; it is back after 6 s
+        st.tuples(st.just("replaced"), COORDINATOR),  # the same, back after one second
+        st.tuples(st.just("loses"), st.integers(1, 10)),  # so many proxies lose their streams
+        st.tuples(st.just("go_home"), st.just(0)),  # who is elsewhere goes back
+        st.tuples(st.just("whole"), COORDINATOR),  # a whole list, which skips what was not told
+        st.tuples(st.just("again"), COORDINATOR),  # the last change is told twice
+        st.tuples(st.just("late"), st.tuples(COORDINATOR, st.integers(0, 5))),  # its list is so many s old
+        st.tuples(st.just("wait"), st.integers(1, 8)),
+    ),
+    min_size=1,
+    max_size=8,
+)
+
+
+def take(fleet, kind, value):
+    if kind in ("release", "restart", "crash", "loses"):
+        getattr(fleet, kind)(value)
+    elif kind in ("dies", "replaced"):
+        fleet.dies(value, (6 if kind == "dies" else 1) * SECOND)
+    elif kind == "go_home":
+        fleet.go_home()
+    elif kind == "wait":
+        fleet.run(value)
+    elif kind == "late":
+        number, seconds = value
+        fleet.storms[number % len(fleet.storms)].delay = seconds * SECOND
+    else:
+        storm = fleet.storms[value % len(fleet.storms)]
+        if storm.up:
+            getattr(storm, kind)()
+
+
+def played(steps, coordinators, proxies, backends, intake=1000, slowed=1):
+    fleet = Fleet(coordinators, proxies, backends, intake, slowed)
+    fleet.run(3)
+    for kind, value in steps:
+        take(fleet, kind, value)
+        fleet.run(1)
+    fleet.run(CALM * slowed)
+    return fleet
+
+
+def broken(fleet):
+    return [(each.rule, each.text) for each in check(fleet.events(), fleet.limits())]
+
+
+def rules_broken(fleet):
+    return {rule for rule, _ in broken(fleet)}
+
+
+@settings(max_examples=120, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
+@given(
+    steps=STEPS,
+    coordinators=st.integers(1, 5),
+    proxies=st.integers(2, 10),  # of each coordinator
+    backends=st.integers(6, 30),
+    intake=st.sampled_from((5, 50, 1000)),  # reports a second; what is more adds up and comes late
+    slowed=st.sampled_from((1, 1, 3)),  # times that the channels are slower than told
+)
+def test_the_five_rules_hold_over_all_coordinators_in_any_order(**drawn):
+    assert not broken(played(**drawn))
+
+
+# What the interleavings are made of is there, and a program that breaks a rule is found
+
+BUSY = [
+    ("late", (1, 3)),
+    ("release", 6),
+    ("dies", 0),
+    ("again", 1),
+    ("wait", 4),
+    ("restart", 3),
+    ("whole", 2),
+    ("loses", 5),
+    ("wait", 8),
+    ("crash", 2),
+    ("go_home", 0),
+]
+
+
+def test_a_busy_day_holds_all_that_the_rules_are_about():
+    fleet = played(BUSY, 3, 6, 18)
+    trace = fleet.events()
+    assert not broken(fleet)
+
+    def some(kind, **fields):
+        return [
+            each
+            for each in trace
+            if isinstance(each, kind) and all(getattr(each, key) == told for key, told in fields.items())
+        ]
+
+    assert len(some(BackendTold, phase="draining")) >= 9
+    assert len(some(BackendTold, phase="gone")) >= 9
+    assert len(some(ProxyLeft)) >= 11
+    assert len(some(CoordinatorEnded)) == 1
+    assert len(some(CoordinatorStarted)) == 4
+    assert max(each.multiple for each in some(BackendLoad, cold=True)) > 0.5
+    assert {storm.name for storm in fleet.storms} == {each.coordinator for each in some(MessageWritten)}
+    held = {name for each in some(TableHeld) for name in each.lines}
+    assert {f"s{number}" for number in range(1, 24)} <= held  # the first ones and those that came later
+    assert len(some(RequestExecuted)) > 1000
+
+
+def test_one_that_keeps_what_drains_is_found(monkeypatch):
+    moves = Planner._moves
+
+    def keeps(self, now, only):
+        return (move for move in moves(self, now, only) if move[4])  # no line is taken out of a table
+
+    monkeypatch.setattr(Planner, "_moves", keeps)
+    monkeypatch.setattr(Planner, "_shut_out", lambda self, now: None)
+    assert rules_broken(played([("release", 4)], 2, 4, 12)) == {"drain"}
+
+
+def test_one_whose_orders_come_too_late_is_found(monkeypatch):
+    monkeypatch.setattr(TracedStorm, "_arrive", lambda self: None)
+    assert rules_broken(played([("release", 4)], 2, 4, 12)) == {"drain"}
+
+
+def test_one_that_has_uncertain_tries_repeated_is_found(monkeypatch):
+    level = Coordinator.level
+
+    def repeats(self, table, classes, share, retries):
+        level(self, table, classes, share, 2)
+
+    monkeypatch.setattr(Coordinator, "level", repeats)
+    assert rules_broken(played([("wait", 8)], 2, 4, 12)) == {"double_effect"}
+
+
+def test_one_that_gives_a_cold_backend_the_work_of_many_is_found(monkeypatch):
+    want = Planner._want
+
+    def pushes(self, now, rec, zone):
+        weight = want(self, now, rec, zone)
+        return 1000.0 if weight and rec.started else weight
+
+    monkeypatch.setattr(Planner, "_want", pushes)
+    assert rules_broken(played([("release", 1)], 2, 4, 24)) == {"cold_overload"}
+
+
+def test_one_that_shuts_everybody_out_is_found():
+    fleet = Fleet(2, 4, 12)
+    fleet.run(3)
+    coordinator = fleet.storms[1].coordinator
+    for proxy in fleet.storms[1].joined:
+        coordinator.planner._count(fleet.now, proxy, len(fleet.backends))
+    for name in fleet.backends:
+        coordinator.withdraw(name, True)
+    fleet.run(8)
+    found = check(fleet.events(), fleet.limits())
+    assert {each.rule for each in found} == {"no_backend"}
+    assert {each.subject for each in found} == {f"proxy {number}" for number in (1, 3, 5, 7)}
+
+
+def test_one_that_writes_more_messages_than_may_be_is_found():
+    fleet = Fleet(2, 2, 8)
+    fleet.run(3)
+    storm = fleet.storms[0]
+    for _ in range(LIMITS.messages_limit + 1):
+        planner = storm.coordinator.planner
+        for proxy in storm.joined:
+            planner.channel.book(fleet.now, proxy, 0)
+        storm.coordinator.mark(planner.channel.serial, True)
+        fleet.turn()
+    assert rules_broken(fleet) == {"channel"}
