Interleavings: channels as narrow as the platform sets them, at a drawn pace

At 900 lines a second the drawn fleets used 6 % of their queues at most, so no rule of the channel was near.

--- a/tests/test_interleavings.py
+++ b/tests/test_interleavings.py
@@ -6,7 +6,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from storm import SECOND
-from traced_fleet import LIMITS, Fleet, TracedStorm
+from traced_fleet import SETTINGS, Channel, Fleet, TracedStorm
 
 from granitespool.facade import Coordinator
 from granitespool.rules import Planner
@@ -61,13 +61,17 @@
             getattr(storm, kind)()
 
 
-def played(steps, coordinators, proxies, backends, intake=1000, slowed=1):
-    fleet = Fleet(coordinators, proxies, backends, intake, slowed)
+def fitting(coordinators, proxies, backends, table_takes=0.1, **more):
+    channel = Channel.fitting(coordinators, proxies, backends, table_takes)
+    return Fleet(channel, coordinators, proxies, backends, **more)
+
+
+def played(steps, fleet):
     fleet.run(3)
     for kind, value in steps:
         take(fleet, kind, value)
         fleet.run(1)
-    fleet.run(CALM * slowed)
+    fleet.run(CALM * fleet.slowed)
     return fleet
 
 
@@ -79,7 +83,7 @@
     return {rule for rule, _ in broken(fleet)}
 
 
-@settings(max_examples=120, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
+@settings(max_examples=200, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
 @given(
     steps=STEPS,
     coordinators=st.integers(1, 5),
@@ -87,9 +91,10 @@
     backends=st.integers(6, 30),
     intake=st.sampled_from((5, 50, 1000)),  # reports a second; what is more adds up and comes late
     slowed=st.sampled_from((1, 1, 3)),  # times that the channels are slower than told
+    table_takes=st.sampled_from((0.04, 0.15, 0.3)),  # s that a channel takes for one whole table
 )
-def test_the_five_rules_hold_over_all_coordinators_in_any_order(**drawn):
-    assert not broken(played(**drawn))
+def test_the_five_rules_hold_over_all_coordinators_in_any_order(steps, **drawn):
+    assert not broken(played(steps, fitting(**drawn)))
 
 
 # What the interleavings are made of is there, and a program that breaks a rule is found
@@ -110,7 +115,7 @@
 
 
 def test_a_busy_day_holds_all_that_the_rules_are_about():
-    fleet = played(BUSY, 3, 6, 18)
+    fleet = played(BUSY, fitting(3, 6, 18))
     trace = fleet.events()
     assert not broken(fleet)
 
@@ -141,12 +146,12 @@
 
     monkeypatch.setattr(Planner, "_moves", keeps)
     monkeypatch.setattr(Planner, "_shut_out", lambda self, now: None)
-    assert rules_broken(played([("release", 4)], 2, 4, 12)) == {"drain"}
+    assert rules_broken(played([("release", 4)], fitting(2, 4, 12))) == {"drain"}
 
 
 def test_one_whose_orders_come_too_late_is_found(monkeypatch):
     monkeypatch.setattr(TracedStorm, "_arrive", lambda self: None)
-    assert rules_broken(played([("release", 4)], 2, 4, 12)) == {"drain"}
+    assert rules_broken(played([("release", 4)], fitting(2, 4, 12))) == {"drain"}
 
 
 def test_one_that_has_uncertain_tries_repeated_is_found(monkeypatch):
@@ -156,7 +161,7 @@
         level(self, table, classes, share, 2)
 
     monkeypatch.setattr(Coordinator, "level", repeats)
-    assert rules_broken(played([("wait", 8)], 2, 4, 12)) == {"double_effect"}
+    assert rules_broken(played([("wait", 8)], fitting(2, 4, 12))) == {"double_effect"}
 
 
 def test_one_that_gives_a_cold_backend_the_work_of_many_is_found(monkeypatch):
@@ -167,11 +172,11 @@
         return 1000.0 if weight and rec.started else weight
 
     monkeypatch.setattr(Planner, "_want", pushes)
-    assert rules_broken(played([("release", 1)], 2, 4, 24)) == {"cold_overload"}
+    assert rules_broken(played([("release", 1)], fitting(2, 4, 24))) == {"cold_overload"}
 
 
 def test_one_that_shuts_everybody_out_is_found():
-    fleet = Fleet(2, 4, 12)
+    fleet = fitting(2, 4, 12)
     fleet.run(3)
     coordinator = fleet.storms[1].coordinator
     for proxy in fleet.storms[1].joined:
@@ -185,10 +190,10 @@
 
 
 def test_one_that_writes_more_messages_than_may_be_is_found():
-    fleet = Fleet(2, 2, 8)
+    fleet = fitting(2, 2, 8)
     fleet.run(3)
     storm = fleet.storms[0]
-    for _ in range(LIMITS.messages_limit + 1):
+    for _ in range(SETTINGS["messages_limit"] + 1):
         planner = storm.coordinator.planner
         for proxy in storm.joined:
             planner.channel.book(fleet.now, proxy, 0)
--- a/tests/traced_fleet.py
+++ b/tests/traced_fleet.py
@@ -32,12 +32,9 @@
 ZONES = 3
 COLD_TIME, COLD_SHARE = 17 * SECOND, 0.2
 SETTINGS = {
-    "lines_per_s": 900.0,
-    "backlog_limit": 6000.0,
     "message_head": 3.0,
     "messages_limit": 30,
     "messages_span": 10 * SECOND,
-    "drain_grace": 7 * SECOND,
     "empty_limit": 5 * SECOND,
     "cold_time": COLD_TIME,
     "cold_share": COLD_SHARE,
@@ -47,24 +44,12 @@
     "usual_retry": 0,
     "probes": True,
 }
-LIMITS = Limits(
-    **{
-        name: SETTINGS[name]
-        for name in (
-            "drain_grace",
-            "empty_limit",
-            "fall_multiple",
-            "fall_time",
-            "backlog_limit",
-            "messages_limit",
-            "messages_span",
-            "cold_time",
-        )
-    }
-)
-GROWING = "drain_grace", "empty_limit", "fall_time"  # where channels are slower than told
+TABLE_REST = 7  # lines of a message beside those of backends: its head, mark, `whole` and levels
+DRAIN_REST = 4  # the same of a message that takes backends out: its head and mark
+GRACE_LEAST = 3_300_000_000  # ns
+BACKLOG_TIME = 2  # s at the told pace that a full channel holds at least
 LOAD = 0.6  # of what the first fleet can do warm
-REST = 2 / 3  # of the first fleet that must stay ready and warm: less is no capacity to plan with
+REST = 2 / 3  # of the first fleet that stay ready and warm at least: less is no capacity to plan with
 ANSWER = SECOND // 10  # ns that a backend takes which is not pressed
 TRIES = 20.0  # a second and proxy
 REQUESTS = 2  # with an effect that must happen once, a second and proxy
@@ -266,18 +251,47 @@
             self.coordinator.report(self.now, "heard", zone=zone, backend=name, mean=mean, **met)
 
 
+class Channel(msgspec.Struct, frozen=True):
+    """What a fleet's settings tell of its channels, and of the drains that must pass them."""
+
+    pace: float  # lines a second
+    backlog_limit: float  # lines
+    drain_grace: int  # ns
+
+    @classmethod
+    def fitting(cls, coordinators, proxies, backends, table_takes):
+        """As the platform sets it: what cannot be put off fits twice, with all proxies on one coordinator;
+        here that is the drains of all that may drain at a time. `table_takes`: seconds that a channel takes
+        for one whole table."""
+        pace = (backends + TABLE_REST) / table_takes
+        drains = coordinators * proxies * (int((1 - REST) * backends) + DRAIN_REST)
+        grace = max(GRACE_LEAST, round(2 * drains / pace * SECOND))
+        return cls(pace, max(2 * drains, BACKLOG_TIME * pace), grace)
+
+
 class Fleet:
-    """Coordinators, proxies and backends; `trace` is in order of time once `events` has sorted it."""
+    """Coordinators, proxies and backends; `trace` is in order of time once `events` has sorted it.
+
+    `proxies` are each coordinator's, `intake` is reports a second, `slowed` how many times slower the
+    channels are than told.
+    """
 
-    def __init__(self, coordinators, proxies, backends, intake=1000, slowed=1, seed=1):
-        self.random, self.intake, self.slowed = Random(seed), intake, slowed
+    def __init__(self, channel, coordinators, proxies, backends, intake=1000, slowed=1, seed=1):
+        self.random, self.channel, self.intake, self.slowed = Random(seed), channel, intake, slowed
         self.trace, self.now, self.turns, self.request = [], BEGIN, 0, 0
         self.backends = {f"s{number}": Backend(f"s{number}") for number in range(1, backends + 1)}
         self.first, self.later = backends, []  # later: (when, what happens to a backend, its name)
         self.history = []  # (at, entries) of each change of the list
         self.names = backends
         first_list = self.whole_list()
-        settings = {**SETTINGS, "proxies_expected": coordinators * proxies, "planners": coordinators}
+        settings = {
+            **SETTINGS,
+            "lines_per_s": channel.pace,
+            "backlog_limit": channel.backlog_limit,
+            "drain_grace": channel.drain_grace,
+            "proxies_expected": coordinators * proxies,
+            "planners": coordinators,
+        }
         self.storms = [
             TracedStorm(self, f"c{number}", slowed=slowed, **settings) for number in range(coordinators)
         ]
@@ -302,9 +316,17 @@
         self.saw(TableHeld(at=now, proxy=proxy.number, lines=dict(proxy.lines), shut_out=shut_out))
 
     def limits(self):
-        """By the platform's page the times grow by the factor that the channels are slower than told."""
-        times = {name: self.slowed * getattr(LIMITS, name) for name in GROWING}
-        return msgspec.structs.replace(LIMITS, **times)
+        """The rules' figures; the times grow by the factor that the channels are slower than told."""
+        return Limits(
+            drain_grace=self.slowed * self.channel.drain_grace,
+            empty_limit=self.slowed * SETTINGS["empty_limit"],
+            fall_multiple=SETTINGS["fall_multiple"],
+            fall_time=self.slowed * SETTINGS["fall_time"],
+            backlog_limit=self.channel.backlog_limit,
+            messages_limit=SETTINGS["messages_limit"],
+            messages_span=SETTINGS["messages_span"],
+            cold_time=COLD_TIME,
+        )
 
     def events(self):
         """The trace in order of time; what was seen at one time stays in the order in which it was seen."""
@@ -448,7 +470,7 @@
         if knowing[0] == backend.started and proxy.written_at >= knowing[1]:
             return True
         known = proxy.coordinator.starts_told.get(backend.name, (0, 0)) if proxy.coordinator else (0, 0)
-        return known[0] == backend.started and self.now - known[1] >= SETTINGS["drain_grace"]
+        return known[0] == backend.started and self.now - known[1] >= self.channel.drain_grace
 
     def loads(self):
         """{backend: (work, the part of it that knows)}, 1 for what one can do warm."""
