Red: a drain waits behind joiners' tables where a full queue outlasts the grace

Found by the interleavings with channels wider than the platform sets them (a queue of 10 s, a grace of 3.3 s), shrunk to one coordinator, twenty joiners and one drain: 13 proxies hold the drained backend too long. The cause is in the planner: BIND_PART lets joiners' tables fill 35 % of the queue's limit, whatever time that takes, so more room makes the rule break. Fails on the text as it is.

--- a/tests/test_interleavings.py
+++ b/tests/test_interleavings.py
@@ -97,6 +97,13 @@
     assert not broken(played(steps, fitting(**drawn)))
 
 
+def test_a_drain_has_its_time_where_a_full_queue_takes_longer_than_the_grace():
+    # Found by drawing channels whose queue takes 10 s, three times the drains' grace: twenty joiners' tables
+    # fill a third of it, all of the grace, before a drain that needs half of the grace for a line to each.
+    channel = Channel(pace=60.0, backlog_limit=600.0, drain_grace=3_300_000_000)
+    assert not broken(played([("release", 1)], Fleet(channel, 1, 20, 12)))
+
+
 # What the interleavings are made of is there, and a program that breaks a rule is found
 
 BUSY = [
