net/streams split by job: a module each, typed messages, the field's names

Change: acceptor, admission, connection, dispatch, membership, messages and streams, each with what it owns and never does; a message is checked once and becomes a typed word. Words of the wire and the log, orders and constants stay. Tests read renamed attributes: strangers -> pending, most -> admission.connections_limit, zones and proxies_expected -> names; no check eased.

--- /dev/null
+++ b/granitespool/net/connection.py
@@ -0,0 +1,101 @@
+"""The record of one accepted connection, and how bytes are written to it and its end is made orderly.
+
+Owns the socket, the reader and the bytes that are not yet sent. It never decides who keeps a place, never
+reads what a message means and reports nothing: that is for `admission`, `messages` and `membership`."""
+
+import socket
+from collections.abc import Generator
+from dataclasses import dataclass
+from enum import StrEnum
+
+from granitespool.net.frames import Reader
+from granitespool.net.loop import IN, OUT, SECOND, Loop, Task
+from granitespool.net.messages import ProxyJoining
+
+Waits = Generator[tuple[int | None, int, int | None], int | None, None]  # a coroutine of the loop
+
+DISCARD_SIZE = 16 * 1024  # bytes read at once of what nobody is to hear any more
+READ_PER_TURN = 256 * 1024  # bytes read from one peer in one turn: twice what may stand unread
+LINGER = SECOND // 4  # ns that last words may take to be read: under half of a planned restart's 0.7 s
+
+# Why a connection ended, where nothing was wrong with what it sent
+CLOSED = "closed"  # by the other side
+GIVEN_UP = "given up"  # by us, for room or with the process
+REFUSED = "refused"  # its last word was written, and the log has the reason
+REPLACED = "replaced"  # by a later stream of the same proxy
+
+
+class Role(StrEnum):
+    """What a connection is used for; the values are words of the log."""
+
+    PENDING = "stranger"  # it has not said who it is
+    PROXY = "proxy"
+    COLLECTOR = "collector"
+
+
+@dataclass(eq=False, slots=True)
+class Connection:
+    """One accepted connection. Its coroutine alone reads from it and closes it."""
+
+    sock: socket.socket
+    peer: str  # the other side's "host:port"
+    reader: Reader
+    accepted_at: int  # ns
+    number: int  # how many were accepted before it
+    role: Role = Role.PENDING
+    task: Task | None = None  # its coroutine in the loop
+    unsent: bytes = b""
+    proxy: int | None = None  # the proxy whose stream it is
+    joining: ProxyJoining | None = None  # what that proxy said of itself
+    awaiting_since: int | None = None  # ns of the oldest mark after which nothing came yet
+    away: bool = False  # its proxy was silent for too long, and counts as left
+    ended_by_us: bool = False
+    leaving_reported: bool = False
+    end_reason: str = CLOSED  # for the log
+
+    def write(self, data: bytes) -> None:
+        """Sends what waits and then `data`, as far as the system takes it now; the rest waits in `unsent`.
+
+        Raises OSError where the connection is broken."""
+        unsent = self.unsent + data
+        try:
+            sent = self.sock.send(unsent) if unsent else 0
+        except BlockingIOError:
+            sent = 0
+        self.unsent = unsent[sent:]
+
+    def linger(self, loop: Loop) -> Waits:
+        """Writes what waits, ends our side and waits for the other side's end, for `LINGER` at most.
+
+        What still comes is dropped: a close over bytes that were not read resets, and takes with it what was
+        sent. Raises OSError where the connection is broken."""
+        sock, our_side_ended, until = self.sock, False, loop.now + LINGER
+        while loop.now < until:
+            self.write(b"")
+            if not self.unsent and not our_side_ended:
+                sock.shutdown(socket.SHUT_WR)
+                our_side_ended = True
+            their_side_ended = _discard(sock)
+            if their_side_ended and our_side_ended:
+                return
+            mask = (0 if their_side_ended else IN) | (0 if our_side_ended else OUT)
+            yield sock.fileno(), mask, until
+
+    def close(self) -> None:
+        """Gives back the socket and the reader's buffers."""
+        self.sock.close()
+        self.reader.close()
+
+
+def _discard(sock: socket.socket) -> bool:
+    """Drops what one turn may read; whether the other side has ended its own."""
+    total = 0
+    while total < READ_PER_TURN:
+        try:
+            dropped = len(sock.recv(DISCARD_SIZE))
+        except BlockingIOError:
+            return False
+        if not dropped:
+            return True
+        total += dropped
+    return False
--- /dev/null
+++ b/granitespool/net/dispatch.py
@@ -0,0 +1,128 @@
+"""Dispatch: what is done with each message of a connection.
+
+Owns the names that messages may use, and decides by a message's type and its sender's role whether it is
+answered, joins its sender, is reported to the coordinator, dropped or refused. It never reads a socket, and
+the fields are checked by `messages`. No decision of the planner's is taken here."""
+
+from granitespool.facade import Coordinator
+from granitespool.net import messages
+from granitespool.net.connection import Connection, Role
+from granitespool.net.frames import PONG
+from granitespool.net.log import Log
+from granitespool.net.loop import Loop
+from granitespool.net.membership import Membership
+from granitespool.net.messages import KnownNames, Message
+from granitespool.settings import BadInput
+
+PENDING = Role.PENDING  # a module's own name costs less than an enum's member, and each message asks
+UNSENT_MAX = 64 * 1024  # bytes of answers that wait for one peer: who asks more and reads none is cut off
+
+
+class Dispatcher:
+    """Handles the messages of all connections."""
+
+    def __init__(
+        self, loop: Loop, coordinator: Coordinator, log: Log, membership: Membership, names: KnownNames
+    ) -> None:
+        self.loop, self.coordinator, self.log = loop, coordinator, log
+        self.membership, self.names = membership, names
+        self.joinings = {
+            messages.PROXY_JOINING: self._join_proxy,
+            messages.COLLECTOR_JOINING: self._join_collector,
+        }
+        self.reports = {
+            messages.APPLIED: self._report_applied,
+            messages.LINK_REPORT: self._report_link,
+            messages.USAGE_REPORT: self._report_usage,
+        }
+
+    def handle(self, connection: Connection, message: Message) -> None:
+        """Does what one message asks for.
+
+        Raises BadInput where its sender must be refused or cut off, and OSError where the connection is
+        broken; any other wrong message is lost alone."""
+        kind = message["type"]
+        if kind == messages.PING:
+            self._answer_ping(connection)
+        elif connection.role is PENDING:
+            self._join(connection, kind, message)
+        elif kind in self.reports:
+            self._report(connection, kind, message)
+        else:
+            self._drop(
+                connection, f"a {kind!r:.40} has no place here" if kind else "it is no object with a type"
+            )
+
+    def _answer_ping(self, connection: Connection) -> None:
+        if len(connection.unsent) <= UNSENT_MAX:
+            connection.write(PONG)
+        elif connection.role is not Role.PROXY:
+            raise BadInput("it asks and does not read")
+
+    def _join(self, connection: Connection, kind: str, message: Message) -> None:
+        if kind in self.joinings:
+            self.joinings[kind](connection, message)
+        elif kind:
+            raise BadInput(f"a {kind!r:.40} came before its sender said who it is")
+        else:
+            raise BadInput("a message is not an object with a type")
+
+    def _join_proxy(self, connection: Connection, message: Message) -> None:
+        self.membership.join_proxy(connection, messages.proxy_joining(message, self.names))
+
+    def _join_collector(self, connection: Connection, message: Message) -> None:
+        self.membership.join_collector(connection, messages.collector_zone(message, self.names))
+
+    def _report(self, connection: Connection, kind: str, message: Message) -> None:
+        try:
+            self.reports[kind](connection, message)
+        except BadInput as error:
+            self._drop(connection, str(error))
+        except Exception as error:
+            # Against a fault of ours that some message wakes: it must not cost its sender the connection,
+            # and with a collector all of its zone's reports. Harm: the fault shows in the log alone.
+            self.loop.failed(error)
+
+    def _drop(self, connection: Connection, why: str) -> None:
+        self.log.often("dropped", peer=connection.peer, proxy=connection.proxy, why=why)
+
+    def _report_applied(self, connection: Connection, message: Message) -> None:
+        if connection.role is not Role.PROXY:
+            raise BadInput("only a proxy's own stream brings its 'applied'")
+        try:
+            applied = messages.mark_applied(message, self.names, connection.proxy)
+        except BadInput:
+            # It has answered some mark, at least the oldest: else its lines stay in the planner's account
+            # until that mark counts as lost. What else it holds for: answers of another version. Harm: who
+            # answers what it never applied makes its own lines count as gone too soon.
+            self.coordinator.report(self.loop.now, "applied", proxy=connection.proxy, serial=None, took=None)
+            raise
+        self.coordinator.report(
+            self.loop.now, "applied", proxy=connection.proxy, serial=applied.mark, took=applied.took
+        )
+
+    def _report_link(self, _: Connection, message: Message) -> None:
+        report = messages.link_report(message, self.names)
+        self.coordinator.report(
+            self.loop.now,
+            "heard",
+            zone=report.zone,
+            backend=report.backend,
+            tries=report.tries,
+            failed=report.failed,
+            mean=report.mean,
+            window=report.window,
+            load=report.load,
+        )
+
+    def _report_usage(self, connection: Connection, message: Message) -> None:
+        report = messages.usage_report(message, self.names, connection.proxy)
+        self.coordinator.report(
+            self.loop.now,
+            "arrivals",
+            proxy=report.proxy,
+            grade=report.request_class,
+            number=report.requests,
+            unanswered=report.unanswered,
+            window=report.window,
+        )
--- /dev/null
+++ b/granitespool/net/membership.py
@@ -0,0 +1,87 @@
+"""Membership: which proxies and collectors have joined, and on which connection.
+
+Owns the map from a proxy to its current stream, and tells the coordinator and the log of every joining,
+leaving, silence and return. It never reads or writes a socket, and it checks no message."""
+
+from granitespool.facade import Coordinator
+from granitespool.net.admission import Admission
+from granitespool.net.connection import Connection, Role
+from granitespool.net.log import Log
+from granitespool.net.loop import Loop
+from granitespool.net.messages import ProxyJoining
+from granitespool.settings import BadInput
+
+
+class Membership:
+    """The peers that have joined. A proxy's stream that is replaced by a later one ends without a leaving."""
+
+    def __init__(self, loop: Loop, coordinator: Coordinator, log: Log, admission: Admission) -> None:
+        self.loop, self.coordinator, self.log, self.admission = loop, coordinator, log, admission
+        self.proxies: dict[int, Connection] = {}  # number -> its current stream
+
+    def join_collector(self, connection: Connection, zone: str) -> None:
+        """Makes a pending connection a collector's, or raises BadInput where no place is free."""
+        self.admission.admit(connection, Role.COLLECTOR)
+        self.log.event("collector", peer=connection.peer, zone=zone)
+
+    def join_proxy(self, connection: Connection, joining: ProxyJoining) -> None:
+        """Makes a pending connection a proxy's current stream and ends the one before it.
+
+        Raises BadInput where no place is free, or where the proxy has joined on a later connection."""
+        former = self.proxies.get(joining.proxy)
+        if former and former.number > connection.number:
+            # Against a joining that was held up until its proxy had dialled again: the stream that the proxy
+            # gave up must not end the one it uses. Harm: a proxy that joins on the older of two is refused.
+            raise BadInput(f"the proxy {joining.proxy} has joined on a later connection")
+        self.admission.admit(connection, Role.PROXY, replaces=former is not None)
+        connection.proxy = joining.proxy
+        connection.joining = joining
+        self.proxies[joining.proxy] = connection
+        self.log.event(
+            "joined", peer=connection.peer, proxy=joining.proxy, zone=joining.zone, cold=joining.standing
+        )
+        self.coordinator.report(
+            self.loop.now,
+            "joined",
+            proxy=joining.proxy,
+            zone=joining.zone,
+            standing=joining.standing,
+            rate=joining.rate,
+        )
+        if former:  # it has moved on: the old stream carries nothing more
+            self.loop.end(former.task)
+
+    def leave(self, connection: Connection) -> None:
+        """Reports the leaving, where this is a proxy's current stream; else nothing."""
+        if self.proxies.get(connection.proxy) is connection:
+            del self.proxies[connection.proxy]
+            # What we end ourselves has not left by the protocol: what waits for it stays in the account
+            self.coordinator.report(
+                self.loop.now, "left", proxy=connection.proxy, silent=connection.ended_by_us
+            )
+            connection.leaving_reported = True
+
+    def mark_away(self, connection: Connection) -> None:
+        """Reports a silent proxy as left until it speaks.
+
+        A proxy that answers no mark and reports nothing is cut off, so nothing is booked or written for it.
+        Its stream stays: it is the proxy's to end."""
+        connection.away = True
+        connection.awaiting_since = None
+        self.log.event("away", peer=connection.peer, proxy=connection.proxy)
+        self.coordinator.report(self.loop.now, "left", proxy=connection.proxy, silent=True)
+
+    def mark_back(self, connection: Connection) -> None:
+        """A proxy that was away has spoken: it counts as joined anew, with the tables that it was written."""
+        joining = connection.joining
+        connection.away = False
+        self.log.event("back", peer=connection.peer, proxy=connection.proxy)
+        self.coordinator.report(
+            self.loop.now,
+            "joined",
+            again=True,
+            proxy=joining.proxy,
+            zone=joining.zone,
+            standing=False,
+            rate=joining.rate,
+        )
--- /dev/null
+++ b/granitespool/net/messages.py
@@ -0,0 +1,154 @@
+"""The platform's messages at the coordinator's address, checked and turned into typed words.
+
+Owns the wire's names of the fields and the limits of what they may hold. It never touches a socket, keeps
+nothing between messages and reports to nobody: who calls it does. Times are whole nanoseconds in what it
+returns. Every check ends in `BadInput`, whose text says in one sentence what is wrong."""
+
+from collections.abc import Container
+from dataclasses import dataclass
+
+import msgspec
+
+from granitespool.settings import COUNT_MOST, MS, MS_MOST, BadInput, figure, load_map, need
+
+Message = dict[str, object]  # one object of the wire; its "type" is text, and empty where it had none
+
+PING = "ping"  # the readiness check, answered on every connection
+PROXY_JOINING = "joined"
+COLLECTOR_JOINING = "collector"
+APPLIED = "applied"
+LINK_REPORT = "heard"
+USAGE_REPORT = "usage"
+
+MARK_MAX = 65535  # the highest mark: the protocol's
+
+
+@dataclass(slots=True)
+class KnownNames:
+    """The names that a message may use; a later configuration changes them in place."""
+
+    backends: Container[str]  # those the list has named
+    request_classes: Container[str]
+    zones: Container[str] = ()
+    proxies_expected: int = 0  # proxies are numbered from 0 up to this less 1
+
+
+class ProxyJoining(msgspec.Struct, frozen=True, kw_only=True):
+    """The first message of a proxy's stream."""
+
+    proxy: int
+    zone: str
+    standing: bool  # "cold" on the wire: the proxy holds no table that was ordered
+    rate: float  # requests a second, roughly; 0 where it was not told
+
+
+class MarkApplied(msgspec.Struct, frozen=True, kw_only=True):
+    """A proxy has applied everything up to a mark."""
+
+    mark: int
+    took: int  # ns
+
+
+class LinkReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What the proxies of a zone met at a backend."""
+
+    zone: str
+    backend: str
+    tries: int | float
+    failed: int | float
+    mean: int  # ns that a try took, of those that did not fail
+    window: int  # ns that the report covers
+    load: dict[str, int | float]  # the latest load report in our words; empty where there was none
+
+
+class UsageReport(msgspec.Struct, frozen=True, kw_only=True):
+    """The requests of one class that reached a proxy."""
+
+    proxy: int
+    request_class: str
+    requests: int | float
+    unanswered: int | float
+    window: int  # ns that the report covers
+
+
+def proxy_joining(message: Message, names: KnownNames) -> ProxyJoining:
+    """A joining with known names, or `BadInput`."""
+    proxy = _proxy_number(message, names)
+    zone = _known_name(message, "locality", names.zones)
+    rate = figure(message, "w") if message.get("w") is not None else 0
+    return ProxyJoining(proxy=proxy, zone=zone, standing=need(message, "cold", bool), rate=rate)
+
+
+def collector_zone(message: Message, names: KnownNames) -> str:
+    """The zone whose reports a collector forwards, or `BadInput`."""
+    return _known_name(message, "locality", names.zones)
+
+
+def mark_applied(message: Message, names: KnownNames, sender: int) -> MarkApplied:
+    """An answer to a mark on the stream of the proxy `sender`, or `BadInput`."""
+    mark = figure(message, "nonce", int, MARK_MAX)
+    took = _time(message, "latency")
+    _own_proxy(message, names, sender)
+    return MarkApplied(mark=mark, took=took)
+
+
+def link_report(message: Message, names: KnownNames) -> LinkReport:
+    """A zone's report of a backend, or `BadInput`."""
+    tries = _count(message, "total")
+    failed = _count(message, "errors")
+    load = need(message, "metrics", dict) if message.get("metrics") is not None else None
+    if failed > tries:
+        raise BadInput(f"a 'heard' tells {failed!r:.20} errors of {tries!r:.20} tries")
+    return LinkReport(
+        zone=_known_name(message, "locality", names.zones),
+        backend=_known_name(message, "endpoint", names.backends),
+        tries=tries,
+        failed=failed,
+        mean=_time(message, "rtt"),
+        window=_time(message, "interval"),
+        load=load_map(load),
+    )
+
+
+def usage_report(message: Message, names: KnownNames, sender: int | None) -> UsageReport:
+    """A proxy's usage, or `BadInput`; `sender` is the proxy whose stream brings it, None for a collector."""
+    return UsageReport(
+        proxy=_own_proxy(message, names, sender),
+        request_class=_known_name(message, "route", names.request_classes),
+        requests=_count(message, "total"),
+        unanswered=_count(message, "errors"),
+        window=_time(message, "interval"),
+    )
+
+
+def _time(message: Message, key: str) -> int:
+    """A time that must be there, in whole nanoseconds."""
+    return int(figure(message, key, most=MS_MOST) * MS)
+
+
+def _count(message: Message, key: str) -> int | float:
+    return figure(message, key, most=COUNT_MOST)
+
+
+def _known_name(message: Message, key: str, known: Container[str]) -> str:
+    value = need(message, key, str)
+    if value not in known:
+        raise BadInput(f"the field {key!r} of a {message['type']!r} names the unknown {value!r:.60}")
+    return value
+
+
+def _proxy_number(message: Message, names: KnownNames) -> int:
+    number = figure(message, "node", int)
+    if number >= names.proxies_expected:
+        raise BadInput(f"a {message['type']!r} names the unknown proxy {number!r:.20}")
+    return number
+
+
+def _own_proxy(message: Message, names: KnownNames, sender: int | None) -> int:
+    """The proxy that a message names: on a proxy's stream that proxy alone."""
+    if sender is not None and message.get("node") == sender:
+        return sender  # also where a new configuration expects fewer proxies: who joined stays
+    number = _proxy_number(message, names)
+    if sender is not None and number != sender:
+        raise BadInput(f"a {message['type']!r} names the proxy {number} on another's stream")
+    return number
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -729,7 +729,7 @@
             "watched": service.loop.tasks,
             "wakes": facade.timers,
             "connections": service.streams.connections,
-            "strangers": service.streams.strangers,
+            "pending": service.streams.pending,
             "marks": facade.planner.channel.turns,
             "booked": facade.planner.channel.held,
             **facade.queues,
--- a/tests/test_gnmi.py
+++ b/tests/test_gnmi.py
@@ -564,7 +564,7 @@
         end = time.monotonic() + 3
         while not house.service.managing.sessions and time.monotonic() < end:
             time.sleep(0.01)
-        most = house.service.streams.most
+        most = house.service.streams.admission.connections_limit
         assert most == house.read()["connections"] - (8 + 4 + 1) - (6 + 3 + 1)
     assert raw.until(ConnectionTerminated).error_code == 0
 
--- a/tests/test_netconf.py
+++ b/tests/test_netconf.py
@@ -120,9 +120,9 @@
         ages.append(int(re.search(r"<age>(\d+)<", one.ask("<get/>"))[1]))
     assert 200_000 < ages[0] < ages[1] - 200_000 and ages[2] < ages[1]
     house.logged("settings_changed", by="operations", version=2)
-    most = house.service.streams.most
+    most = house.service.streams.admission.connections_limit
     assert tag_of(one.edit("<limits><descriptors>512</descriptors></limits>")) == tag_of(one.commit()) == "ok"
-    assert house.service.streams.most == most - 512 and house.service.probes.most == 64
+    assert house.service.streams.admission.connections_limit == most - 512 and house.service.probes.most == 64
     assert tag_of(one.edit("<limits><descriptors>4096</descriptors></limits>")) == "ok"
     assert "over the 1024" in one.commit() and tag_of(one.ask("<discard-changes/>")) == "ok"
     assert tag_of(one.ask("<close-session/>")) == "ok"
@@ -624,7 +624,7 @@
 
 def test_hundreds_of_half_open_handshakes_keep_nobody_out(tmp_path, folder):
     with House(tmp_path, folder, sessions=6, limits={"sockets": 256, "memory_mb": 64}) as house:
-        assert house.service.streams.most == 256 - 16 - 32 - (6 + 3 + 1)
+        assert house.service.streams.admission.connections_limit == 256 - 16 - 32 - (6 + 3 + 1)
         proxy = house.proxy()
         held = [socket.create_connection(house.where, timeout=5) for _ in range(200)]
         one = house.manager()
--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -456,7 +456,7 @@
                 service.turn(SECOND // 100)
                 if not streams.connections:
                     break
-            assert not streams.connections and not streams.strangers, cut
+            assert not streams.connections and not streams.pending, cut
             assert streams.pool.out == 0 and not service.coordinator.proxies, cut
         assert "failed" not in service.text()
 
@@ -534,7 +534,8 @@
         beside.turn(0)
         planner, other = service.coordinator.planner, beside.coordinator.planner
         assert service.last_waits == ["classes"] and service.coordinator.classes == ["a"]
-        assert (planner.channel.pace, planner.channel.limit, service.streams.zones) == (50, 100, {"x", "y"})
+        names, others_names = service.streams.names, beside.streams.names
+        assert (planner.channel.pace, planner.channel.limit, names.zones) == (50, 100, {"x", "y"})
         # What the other service in this process holds is its own
         assert (other.channel.pace, other.channel.limit) == (20000, 400000)
-        assert beside.streams.zones == {"z0", "z1", "z2"} and beside.streams.proxies_expected == 8192
+        assert others_names.zones == {"z0", "z1", "z2"} and others_names.proxies_expected == 8192
