Joiners that wait long are bound before newer drains are ordered

Cause, shown by trial lines at each bind and drain of n0, which alone was left and took 183 proxies within 0.9 s: proxy 169 joined at 842.30 s, the 23 last joiners still waited at 845.04 s with the queue at 1,530 lines; then 30 drains took it to 2,601 and at 846.00 s ten more to 2,428. Binds only go out under 0.35 of the queue (1,540), so none did until 846.96 s; proxy 169 was bound at 847.22 s behind 1,518 lines, 1.7 s. Its grace ended at 848.5 s, that of the drains that went first at 851.2 s. At fault: _flush ordered every drain before any bind, whichever was due first.

Ruled out by the same logs: the list (0.2 to 1 s old), the channel (met 1.00), the account, turns (8 ms at most), the restarted four (nobody joined them), shutting out instead (60 to 100 servers for 23 to 127 joiners cost more than their tables).

Change: before the oldest drain is ordered, joiners that have waited a third of the grace and since before it are bound, as long as the queue leaves within half the grace. The same in the tests' reference: a decision changed on purpose.

--- a/tests/reference/planner.py
+++ b/tests/reference/planner.py
@@ -441,6 +441,8 @@
         for urgency, rank, _, table, _, _ in moves:  # a table's lines go together: one head
             brings[table] += urgency and rank
         moves.sort(key=lambda move: (move[0], move[0] and brings[move[3]], move))
+        if moves and not moves[0][0]:  # a joiner from before the oldest drain is due before it
+            self._bind_next(now, moves[0][1][0])
         few = len(self.proxies) // FEW if self.channel.room(1, PERIOD // 4) > 0 else 0
         rule = sum(len(self.users[move[3]]) for move in moves if not move[0])
         # Who is not bound keeps a jam up by another's table: moves make room. Harm: weights stand still then.
@@ -546,16 +548,20 @@
                 share = NO_LIMIT if self.settings.get("admission") == "per_second" else share
                 self._order(now, self.users[table], self.host.level, table, 1 << position, share, retries)
 
-    def _bind_next(self, now):
-        """Joiners are bound in turn, as there is room: who waits long first, then who has most traffic."""
-        if self.short or not self.unbound or self.channel.room(BIND_PART) < 0:
+    def _bind_next(self, now, drain=None):
+        """Joiners are bound in turn, as there is room: who waits long first, then who has most traffic.
+        Before a drain is ordered, only those who wait long and since before it: they are due first."""
+        grace = self.settings.get("drain_grace", SECOND)
+        room = (BIND_PART,) if drain is None else (RULE_PART, int(IN_TIME * grace))
+        if self.short or not self.unbound or self.channel.room(*room) < 0:
             return  # asked at each answer: no walk of all that could bind none
-        soon = now - self.settings.get("drain_grace", SECOND) / 3  # an old table may hold what is not listed
+        soon = now - grace / 3  # an old table may hold what is not listed
         order = {p: (min(since, soon), -self.proxies[p][1]) for p, (_, since) in self.unbound.items()}
-        all(self._bind(now, proxy) for proxy in sorted(order, key=order.get))
+        due = [p for p, (since, _) in order.items() if drain is None or since < min(drain, soon)]
+        all(self._bind(now, proxy, *room) for proxy in sorted(due, key=order.get))
 
-    def _bind(self, now, proxy):
-        table, room = self.proxies[proxy][0], self.channel.room(BIND_PART)
+    def _bind(self, now, proxy, part=BIND_PART, within=None):
+        table, room = self.proxies[proxy][0], self.channel.room(part, within)
         cost = (
             1 + self.lines[table] + len(self.levels[table]) + sum(self.host.returns((proxy,), table).values())
         )
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -1,5 +1,6 @@
 """How the fleet is split into subsets, and what that gains where the channel is slow."""
 
+from itertools import islice
 from types import SimpleNamespace
 
 import pytest
@@ -188,3 +189,41 @@
     assert len(storm.coordinator.planner.unbound) < 150
     storm.run(8)
     assert not storm.coordinator.planner.unbound
+
+
+def written(storm, proxy):
+    """When the last of what was ordered of a proxy leaves the channel."""
+    return max((leaves for leaves, _, holder, *_ in storm.queue if holder == proxy), default=storm.now)
+
+
+def test_joiners_that_wait_long_are_bound_before_newer_drains_are_ordered():
+    # Four of five coordinators die during a release. Each batch of drains went ahead of joiners that had
+    # waited since before it: the last had their tables 8.5 s after joining, past the grace.
+    grace = 59 * SECOND // 10
+    told = {"lines_per_s": 900.0, "backlog_limit": 4400.0, "proxies_expected": 240, "planners": 5}
+    storm = Storm(200, 3, **told, drain_grace=grace)
+    for proxy in range(57):
+        storm.join(proxy)
+    storm.run(8)
+    storm.release(30)
+    storm.run(2)
+    start, joiners, owed, slowest = storm.now, iter(range(57, 240)), {}, 0
+    batches = [start + tenths * SECOND // 10 for tenths in (3, 28, 38, 48)]
+    while storm.now < start + 12 * SECOND:
+        for proxy in islice(joiners, 10):
+            storm.join(proxy)
+            owed[proxy, None] = storm.now
+        if batches and storm.now >= batches[0]:
+            del batches[0]
+            drained = storm.ready[:30]
+            storm.release(30)
+            holders = [
+                (proxy, name) for proxy, held in storm.holds.items() for name in drained if name in held[0]
+            ]
+            owed |= dict.fromkeys(holders, storm.now)
+        storm.turn()
+        for proxy, name in list(owed):
+            table, _ = storm.holds.get(proxy, ({}, set()))
+            if table and name not in table:
+                slowest = max(slowest, written(storm, proxy) - owed.pop((proxy, name)))
+    assert not owed and slowest <= grace, slowest
