--- a/granitespool/scale/hollow.py
+++ b/granitespool/scale/hollow.py
@@ -39,6 +39,7 @@
 FLUSH_TIME = SECOND // 20  # ns from the first message of a flush to its last
 CHANGE_TIME = SECOND  # ns after a change of the list in which a proxy's next message belongs to it
 TICKETS = 65536  # marks are whole numbers under this
+ANYONE = ""  # stands for all names in a watch that keeps none
 NOTHING_KNOWN = {"index": 0, "endpoints": []}  # the list of a configuration that names nobody
 
 ReceivedKind = Literal[
@@ -151,10 +152,13 @@
         """The profile of one real coordinator from what its stand-ins saw, in order of time, up to `until`.
 
         Entries that were told at the same time are one change. A change before anyone joined is none.
+        Raises ValueError where an event is not older than `until`, TypeError for events of other kinds.
         """
         measuring = _Measuring()
         for event in events:
             measuring.see(event)
+            if event.at >= until:
+                raise ValueError(f"an event is of {event.at} ns, and the measuring ended at {until} ns")
         return measuring.profile(until)
 
 
@@ -289,7 +293,7 @@
 
 
 class _Watch(Discovery):
-    """Discovery's watch, which keeps the names of backends and counts the lines."""
+    """Discovery's watch, which keeps no addresses and counts the lines."""
 
     def __init__(self, coordinator: "HollowCoordinator", discovery: tuple[str, int], seed: str):
         self.counts = coordinator.counts
@@ -303,7 +307,7 @@
         super()._line(line)
 
     def _address(self, backend: str, told: str | None) -> None:
-        self.addresses.setdefault(sys.intern(backend))  # names alone: nobody is probed
+        self.addresses[ANYONE] = None  # nobody is probed: what counts is whether anybody was named
 
 
 class _Connection:
@@ -366,8 +370,6 @@
         for backend, (phase, started) in told.items():
             if self.states.take(backend, phase, started):
                 lines.append([backend, 1.0 if phase == "ready" else 0.0])
-            if phase == "gone":
-                self.watch.forget(backend)
         if lines:
             self._change(lines)
         if self.waiting and any(self.states.ready()):
