Scale: scenarios, their plan from a seed, and stand-ins that observe on loopback

Cause: a scale run needs discovery, backends, collectors and proxies that can be made to fail, and a plan that is the same for the same seed.

--- /dev/null
+++ b/granitespool/scale/backends.py
@@ -0,0 +1,66 @@
+"""Stand-ins of backends: a listener each, which answers `/alive` and `/metrics/load` while it lives."""
+
+import socket
+from collections.abc import Generator
+
+from granitespool.net.client import receive, send
+from granitespool.net.config import address
+from granitespool.net.loop import IN, SECOND, Loop, Task
+from granitespool.scale.fleet import ListedBackend
+
+ANSWER_LIMIT = 2 * SECOND  # ns within which a request has to be there
+BACKLOG = 64
+BODY = b"inflight=7,queue=2,util=0.5"
+ANSWER = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s" % (len(BODY), BODY)
+
+Wait = Generator[tuple[int | None, int, int | None], int, None]
+
+
+class Backends:
+    """All backends that live; one that ended refuses connections."""
+
+    def __init__(self, loop: Loop) -> None:
+        self.loop = loop
+        self.living: dict[str, Task] = {}
+        self.started: dict[str, int] = {}  # backend -> when it began, ns; 0: long ago
+        self.probes = self.asked_bytes = self.answered_bytes = 0
+
+    def start(self, entry: ListedBackend, started: int = 0) -> None:
+        """A backend begins to listen at its address; `started` in ns of Unix time."""
+        listener = socket.create_server(address(entry.address), backlog=BACKLOG)
+        listener.setblocking(False)
+        self.living[entry.name] = self.loop.spawn(self._accept(listener))
+        self.started[entry.name] = started
+
+    def end(self, name: str) -> None:
+        """A backend ends without a word."""
+        task = self.living.pop(name, None)
+        if task is not None:
+            self.loop.end(task)
+
+    def _accept(self, listener: socket.socket) -> Wait:
+        with listener:
+            while True:
+                yield listener.fileno(), IN, None
+                try:
+                    sock, _ = listener.accept()
+                except OSError:
+                    continue  # it has gone already
+                sock.setblocking(False)
+                self.loop.spawn(self._answer(sock))
+
+    def _answer(self, sock: socket.socket) -> Wait:
+        with sock:
+            request = b""
+            try:
+                while b"\r\n\r\n" not in request:
+                    data = yield from receive(sock, self.loop.now + ANSWER_LIMIT)
+                    if not data:
+                        return
+                    request += data
+                yield from send(sock, ANSWER, self.loop.now + ANSWER_LIMIT)
+            except OSError:
+                return  # who asked has gone
+            self.probes += 1
+            self.asked_bytes += len(request)
+            self.answered_bytes += len(ANSWER)
--- /dev/null
+++ b/granitespool/scale/discovery.py
@@ -0,0 +1,263 @@
+"""Stand-in of discovery: one list, and an agent for each coordinator that tells it and can be made to fail.
+
+An agent speaks HTTP/1.1: the whole list, and watches with an empty line each 2 s. What it has been told by
+the list counts as held by it; while it is cut off it answers with what it holds and stays silent."""
+
+import socket
+from collections.abc import Callable, Generator, Iterable
+from urllib.parse import parse_qs, urlsplit
+
+import orjson
+
+from granitespool.net.client import receive, send
+from granitespool.net.loop import IN, SECOND, Loop, Task
+from granitespool.scale.fleet import MS, ListedBackend
+from granitespool.scale.recorder import Recorder
+from granitespool.scale.trace import BackendTold
+
+BEAT = 2 * SECOND  # ns between empty lines of a watch
+REQUEST_LIMIT = 5 * SECOND  # ns within which a request has to be there
+REQUEST_LARGEST = 4096  # bytes of a request
+BACKLOG = 1024
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+
+Wait = Generator[tuple[int | None, int, int | None], int, None]
+
+
+class Change:
+    """One version of the list: the entries that it changed."""
+
+    def __init__(self, index: int, entries: list[ListedBackend], at: int) -> None:
+        self.index, self.entries, self.at = index, entries, at  # at: ns
+        body = {"index": index, "snapshot": False, "endpoints": [as_row(entry) for entry in entries]}
+        self.line = orjson.dumps(body) + b"\n"
+
+
+def as_row(entry: ListedBackend) -> dict[str, str | int | float]:
+    """An entry as the wire has it."""
+    return {name: getattr(entry, name) for name in entry.__struct_fields__}
+
+
+class BackendList:
+    """The list with all its versions; agents are told of each change at once unless they are cut off."""
+
+    def __init__(self, entries: Iterable[ListedBackend], clock: Callable[[], int]) -> None:
+        self.index, self.clock = 1, clock  # clock: ns
+        self.whole: tuple[int, bytes] = (0, b"")  # a version, and its whole list as a line
+        self.entries = {entry.name: entry for entry in entries}
+        self.changes: list[Change] = []
+        self.agents: list[Agent] = []
+
+    def publish(self, entries: list[ListedBackend], told: bool = True) -> Change:
+        """Makes a version of changed entries; `told` False leaves it to the caller to tell agents."""
+        self.index += 1
+        change = Change(self.index, entries, self.clock())
+        self.changes.append(change)
+        for entry in entries:
+            if entry.status == "gone":
+                self.entries.pop(entry.name, None)
+            else:
+                self.entries[entry.name] = entry
+        if told:
+            self.tell()
+        return change
+
+    def tell(self) -> None:
+        """Brings every agent that is not cut off up to date."""
+        for agent in self.agents:
+            agent.update()
+
+    def since(self, after: int, upto: int) -> list[Change]:
+        """The changes after one version up to another."""
+        return [change for change in self.changes if after < change.index <= upto]
+
+    def whole_line(self) -> bytes:
+        """The whole list as one line."""
+        if self.whole[0] != self.index:
+            rows = [as_row(entry) for entry in self.entries.values()]
+            body = {"index": self.index, "snapshot": True, "endpoints": rows}
+            self.whole = self.index, orjson.dumps(body) + b"\n"
+        return self.whole[1]
+
+
+class Watch:
+    """One open watch: lines that wait to be written."""
+
+    def __init__(self, opened: int) -> None:
+        self.opened = opened  # ns
+        self.pending: list[tuple[bytes, Change | None]] = []
+        self.task: Task | None = None
+        self.waits = False  # whether a poke is safe
+
+
+class Agent:
+    """The agent on one coordinator's machine (or that of all hollow ones of a process)."""
+
+    def __init__(
+        self, loop: Loop, backend_list: BackendList, recorder: Recorder, name: str, address: tuple[str, int]
+    ) -> None:
+        self.loop, self.list, self.recorder, self.name = loop, backend_list, recorder, name
+        self.recorded = True  # whether what is told goes into the trace
+        self.held = backend_list.index  # version that the agent has been told
+        self.cut = False
+        self.stalled_until = 0  # ns; until then a line breaks off in its middle and nothing is answered
+        self.watches: set[Watch] = set()
+        self.told: dict[str, int] = {}  # backend -> newest version that was written to the coordinator
+        self.written: dict[int, int] = {}  # version -> when the last watch that was open had it whole, ns
+        self.listener_address = address
+        self.listener = socket.create_server(address, backlog=BACKLOG)
+        self.listener.setblocking(False)
+        loop.spawn(self._accept())
+        backend_list.agents.append(self)
+
+    def update(self) -> None:
+        """Takes what the list has, unless it is cut off, and passes it on."""
+        if self.cut or self.held == self.list.index:
+            return
+        changes = self.list.since(self.held, self.list.index)
+        self.held = self.list.index
+        self.push(changes)
+
+    def push(self, changes: Iterable[Change]) -> None:
+        """Writes changes to every watch in this order, whatever their versions."""
+        lines = [(change.line, change) for change in changes]
+        for watch in list(self.watches):
+            watch.pending += lines
+            if watch.waits and watch.task:
+                self.loop.poke(watch.task)
+
+    def set_cut(self, cut: bool) -> None:
+        """Cuts the agent off from the list, or connects it again."""
+        self.cut = cut
+        self.update()
+
+    def stall(self, until: int) -> None:
+        """Breaks the next line off in its middle, and stays silent until then (ns)."""
+        self.stalled_until = until
+
+    def end_watches(self) -> None:
+        """Resets every open watch."""
+        for watch in list(self.watches):
+            if watch.task:
+                self.loop.end(watch.task)
+
+    def tell_first(self, entries: Iterable[ListedBackend]) -> None:
+        """Records the list that the coordinator's configuration holds as told."""
+        now = self.loop.clock()
+        for entry in entries:
+            self._record(entry, self.held, now)
+
+    def _record(self, entry: ListedBackend, index: int, now: int) -> None:
+        if self.told.get(entry.name, 0) > index or not self.recorded:
+            return  # a late older version tells nothing
+        self.told[entry.name] = index
+        self.recorder.add(
+            BackendTold(
+                at=now,
+                coordinator=self.name,
+                backend=entry.name,
+                phase=entry.status,
+                started=entry.since_ms * MS,
+            )
+        )
+
+    def _accept(self) -> Wait:
+        with self.listener:
+            while True:
+                yield self.listener.fileno(), IN, None
+                try:
+                    sock, _ = self.listener.accept()
+                except OSError:
+                    continue  # it has gone already
+                sock.setblocking(False)
+                watch = Watch(self.loop.now)
+                watch.task = self.loop.spawn(self._serve(sock, watch))
+
+    def _serve(self, sock: socket.socket, watch: Watch) -> Wait:
+        with sock:
+            try:
+                yield from self._answer(sock, watch)
+            except (OSError, ValueError):
+                pass  # the coordinator has ended the watch, or cannot be understood
+            finally:
+                self.watches.discard(watch)
+
+    def _answer(self, sock: socket.socket, watch: Watch) -> Wait:
+        request = b""
+        while b"\r\n\r\n" not in request:
+            data = yield from receive(sock, self.loop.now + REQUEST_LIMIT)
+            if not data or len(request) > REQUEST_LARGEST:
+                return
+            request += data
+        self.recorder.count(self.name, "out", "discovery request", len(request))
+        while self.loop.now < self.stalled_until:
+            yield None, 0, self.stalled_until
+        target = urlsplit(request.split(b" ", 2)[1].decode())
+        query = parse_qs(target.query)
+        if "watch" not in query:
+            body = self.list.whole_line()
+            yield from send(sock, HEAD + b"Content-Length: %d\r\n\r\n%s" % (len(body), body), None)
+            return
+        yield from send(sock, HEAD + b"Transfer-Encoding: chunked\r\n\r\n", None)
+        after = int(query.get("after", ["0"])[0])
+        watch.pending = [(change.line, change) for change in self.list.since(after, self.held)]
+        self.watches.add(watch)
+        if after < 1:
+            # a cut agent would answer with an older list: coordinators begin with one, so none asks it then
+            watch.pending = [(self.list.whole_line(), None)]
+        yield from self._watch(sock, watch)
+
+    def _watch(self, sock: socket.socket, watch: Watch) -> Wait:
+        beat = self.loop.now + BEAT
+        while True:
+            while watch.pending:
+                if hung_up(sock):
+                    return
+                line, change = watch.pending.pop(0)
+                yield from self._line(sock, line)
+                self._was_written(watch, line, change)
+                beat = self.loop.now + BEAT
+            if self.loop.now >= beat:
+                beat = self.loop.now + BEAT
+                if not self.cut and self.loop.now >= self.stalled_until:
+                    yield from self._line(sock, b"\n")
+                    self.recorder.count(self.name, "in", "discovery beat", len(b"\n"))
+                continue
+            watch.waits = True
+            events = yield sock.fileno(), IN, beat
+            watch.waits = False
+            if events and not (yield from receive(sock, self.loop.now + SECOND)):
+                return
+
+    def _line(self, sock: socket.socket, line: bytes) -> Wait:
+        chunk = b"%x\r\n%s\r\n" % (len(line), line)
+        if self.loop.now < self.stalled_until and len(line) > 1:
+            half = len(chunk) // 2
+            yield from send(sock, chunk[:half], None)
+            while self.loop.now < self.stalled_until:
+                if (yield sock.fileno(), IN, self.stalled_until) and hung_up(sock):
+                    raise ConnectionAbortedError(
+                        "the coordinator has ended the watch in the middle of a line"
+                    )
+            chunk = chunk[half:]
+        yield from send(sock, chunk, None)
+
+    def _was_written(self, watch: Watch, line: bytes, change: Change | None) -> None:
+        now = self.loop.clock()
+        self.recorder.count(self.name, "in", "discovery list", len(line))
+        if change is None:
+            entries, index = list(self.list.entries.values()), self.held
+        else:
+            entries, index = change.entries, change.index
+        if change is not None and (index not in self.written or watch.opened <= change.at):
+            self.written[index] = now
+        for entry in entries:
+            self._record(entry, index, now)
+
+
+def hung_up(sock: socket.socket) -> bool:
+    """Whether the other side has ended the connection, so that nothing more is told on it."""
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
--- /dev/null
+++ b/granitespool/scale/fleet.py
@@ -0,0 +1,164 @@
+"""A made-up fleet of backends, and the configuration that a coordinator of it is started with."""
+
+from random import Random
+from typing import Any, Literal
+
+import msgspec
+
+from granitespool.scale.schema import Scenario
+from granitespool.scale.trace import Limits
+
+SECOND = 1_000_000_000  # ns
+MS = 1_000_000  # ns in a millisecond
+US_PER_S = 1_000_000
+BACKEND_PORT = 8081
+COORDINATOR_PORT = 7400
+DISCOVERY_PORT = 7500
+HOSTS = 250  # addresses used of each block of 256
+COORDINATOR_BLOCK, AGENT_BLOCK, BACKEND_BLOCK = 0, 4, 8  # third byte of the loopback addresses of each
+PHASES = Literal["ready", "draining", "gone"]
+
+
+class ListedBackend(msgspec.Struct, kw_only=True):
+    """An entry of discovery's list, with the protocol's names; `since_ms` is Unix time."""
+
+    name: str
+    address: str
+    zone: str
+    type: str
+    group: int
+    status: PHASES = "ready"
+    weight: float = 1.0
+    since_ms: int = 0
+
+
+class Network(msgspec.Struct, frozen=True):
+    """Loopback addresses of one run, in a network of its own: `127.NUMBER.x.y`."""
+
+    number: int
+
+    def coordinator(self, index: int) -> tuple[str, int]:
+        """Where a real coordinator listens."""
+        return self._address(COORDINATOR_BLOCK, index), COORDINATOR_PORT
+
+    def agent(self, index: int) -> tuple[str, int]:
+        """Where the discovery agent of a coordinator, or of a process of hollow ones, listens."""
+        return self._address(AGENT_BLOCK, index), DISCOVERY_PORT
+
+    def backend(self, index: int) -> tuple[str, int]:
+        """Where a backend listens."""
+        return self._address(BACKEND_BLOCK, index), BACKEND_PORT
+
+    def _address(self, block: int, index: int) -> str:
+        return f"127.{self.number}.{block + index // HOSTS}.{index % HOSTS + 1}"
+
+
+class MadeFleet:
+    """The backends of a scenario: uneven services, their backends spread over all zones, in racks."""
+
+    def __init__(self, scenario: Scenario, network: Network, random: Random) -> None:
+        self.scenario, self.network = scenario, network
+        self.zones = scenario.zones
+        self.made = 0
+        self.backends = [self.make(service, place) for place, service in enumerate(self._services(random))]
+
+    def _services(self, random: Random) -> list[int]:
+        """The service of each backend; the k-th service has a share of about 1/k."""
+        fleet = self.scenario.fleet
+        shares = [1 / (service + 1) for service in range(fleet.services)]
+        first = list(range(min(fleet.services, fleet.backends)))  # none without a backend
+        rest = random.choices(range(fleet.services), shares, k=fleet.backends - len(first))
+        return first + sorted(rest)
+
+    def make(self, service: int, place: int) -> ListedBackend:
+        """A further backend; `place` tells its zone and its rack."""
+        host, port = self.network.backend(self.made)
+        zone = place % len(self.zones)
+        rack = place // len(self.zones) // self.scenario.fleet.rack_backends
+        backend = ListedBackend(
+            name=f"s{service:02}-{self.made:05}",
+            address=f"{host}:{port}",
+            zone=self.zones[zone],
+            type=f"service{service:02}",
+            group=rack * len(self.zones) + zone,
+        )
+        self.made += 1
+        return backend
+
+    def like(self, former: ListedBackend) -> ListedBackend:
+        """A further backend in the place of a former one."""
+        host, port = self.network.backend(self.made)
+        service = former.name.partition("-")[0]
+        backend = msgspec.structs.replace(
+            former, name=f"{service}-{self.made:05}", address=f"{host}:{port}", status="ready"
+        )
+        self.made += 1
+        return backend
+
+
+def proxy_base(scenario: Scenario) -> int:
+    """Proxies of the whole fleet of coordinators: the number that version 0 of the settings tells."""
+    coordinators = scenario.coordinators.real + scenario.coordinators.hollow
+    return coordinators * scenario.proxies.per_coordinator
+
+
+def settings(scenario: Scenario, zone: str, index: int, version: int) -> dict[str, Any]:
+    """The settings on the wire.
+
+    Their version is in the number of proxies, which is how it is seen from outside which are in force (a
+    coordinator refuses a joining with a higher number), and in a class's benefit, which acts."""
+    channel, rules = scenario.channel, scenario.rules
+    classes = [
+        {
+            "name": f"class{number}",
+            "semantics": ("single_shot", "guarded", "free")[number % 3],
+            "aim_us": 300_000,
+            "give_up_us": 900_000,
+            "worth": 1.0 + number % 3 + (version % 10 / 100 if not number else 0),
+        }
+        for number in range(scenario.traffic.classes)
+    ]
+    return {
+        "balancers": scenario.coordinators.real + scenario.coordinators.hollow,
+        "index": index,
+        "zone": zone,
+        "zones": scenario.zones,
+        "membership_mode": "automatic",
+        "classes": classes,
+        "family_info": {
+            "admit": "fraction",
+            "egress_per_s": channel.lines_per_s,
+            "most_waiting": channel.backlog_lines,
+            "envelope": channel.head_lines,
+            "messages_most": channel.messages,
+            "counted_over_us": int(channel.messages_span_s * US_PER_S),
+            "report_every_us": US_PER_S,
+            "proxy_count": proxy_base(scenario) + version,
+            "bootstrap": scenario.proxies.first_table_lines,
+            "default_retry": 0,
+            "empty_for_us": int(rules.empty_limit_s * US_PER_S),
+        },
+        "permissions": {"probes": True, "peers": False, "connect_timeout_us": 250_000},
+        "rules": {
+            "stop_sending_within_us": int(rules.drain_grace_s * US_PER_S),
+            "cold_us": int(rules.cold_s * US_PER_S),
+            "cold_from": rules.cold_share,
+            "fall_multiple": rules.fall_multiple,
+            "fall_us": int(rules.fall_s * US_PER_S),
+        },
+    }
+
+
+def limits(scenario: Scenario) -> Limits:
+    """The rules' figures for the checker."""
+    rules, channel = scenario.rules, scenario.channel
+    return Limits(
+        drain_grace=int(rules.drain_grace_s * SECOND),
+        empty_limit=int(rules.empty_limit_s * SECOND),
+        fall_multiple=rules.fall_multiple,
+        fall_time=int(rules.fall_s * SECOND),
+        backlog_limit=channel.backlog_lines,
+        messages_limit=channel.messages,
+        messages_span=int(channel.messages_span_s * SECOND),
+        cold_time=int(rules.cold_s * SECOND),
+    )
--- /dev/null
+++ b/granitespool/scale/plan.py
@@ -0,0 +1,189 @@
+"""What happens in a scenario and when, drawn once from the seed before anything is started."""
+
+from collections.abc import Iterable
+from random import Random
+from typing import Literal
+
+import msgspec
+
+from granitespool.scale.fleet import SECOND, ListedBackend, MadeFleet
+from granitespool.scale.schema import Event, Scenario
+
+Action = Literal[
+    "drain",  # discovery tells that backends drain
+    "remove",  # backends end, and discovery tells that they are gone
+    "crash",  # backends end without a word
+    "add",  # backends begin cold, and discovery tells of them
+    "configure",  # a new configuration for every coordinator that can be reached
+    "configure_badly",  # one that cannot be used
+    "kill",  # coordinators are killed
+    "terminate",  # coordinators are asked to end
+    "start",  # coordinators are started again
+    "collectors_down",
+    "collectors_up",
+    "cut",  # regions are cut from each other and from discovery
+    "heal",
+    "stall",  # discovery breaks off in the middle of its next line
+    "duplicate",  # a change arrives twice
+    "reorder",  # two changes of one backend arrive the later one first
+    "end_watches",
+    "kill_hollow",
+]
+STALL_LEAD = SECOND // 20  # ns from a stall to the change that it breaks off
+PARTITION_CHANGE = 0.4  # part of a cut after which a change is made on the other side of it
+
+
+class Planned(msgspec.Struct, frozen=True, kw_only=True):
+    """One thing that is to happen."""
+
+    at: int  # ns after the beginning of the events
+    action: Action
+    entries: tuple[ListedBackend, ...] = ()
+    names: tuple[str, ...] = ()  # coordinators, zones or regions
+    lasting: int = 0  # ns
+
+
+def coordinator_zones(scenario: Scenario) -> list[str]:
+    """The zone of each real coordinator: regions in turn."""
+    regions, zones = scenario.fleet.regions, scenario.fleet.zones_per_region
+    return [
+        scenario.zones[(index % regions) * zones + index // regions % zones]
+        for index in range(scenario.coordinators.real)
+    ]
+
+
+def coordinator_name(index: int) -> str:
+    """The name of a real coordinator."""
+    return f"c{index:03}"
+
+
+class Plan:
+    """Draws the events of a scenario; `planned` has them in order of time."""
+
+    def __init__(self, scenario: Scenario, fleet: MadeFleet, random: Random) -> None:
+        self.scenario, self.fleet, self.random = scenario, fleet, random
+        self.untouched = list(fleet.backends)  # backends that no event has yet
+        random.shuffle(self.untouched)
+        self.found: list[Planned] = []
+        for _, event in sorted(scenario.events.items()):
+            getattr(self, "_" + event.kind)(event)
+        self.planned = sorted(self.found, key=lambda planned: planned.at)
+
+    @property
+    def end(self) -> int:
+        """When the last of them happens, in ns."""
+        return self.planned[-1].at if self.planned else 0
+
+    def _at(
+        self,
+        at: float,
+        action: Action,
+        entries: Iterable[ListedBackend] = (),
+        names: Iterable[str] = (),
+        lasting: float = 0.0,
+    ) -> None:
+        self.found.append(
+            Planned(
+                at=int(at * SECOND),
+                action=action,
+                entries=tuple(entries),
+                names=tuple(names),
+                lasting=int(lasting * SECOND),
+            )
+        )
+
+    def _take(self, count: int) -> list[ListedBackend]:
+        taken, self.untouched = self.untouched[:count], self.untouched[count:]
+        return taken
+
+    def _spread(self, event: Event) -> list[float]:
+        """Times (s) at which each of an event's things happens."""
+        return [event.at_s + event.for_s * number / event.count for number in range(event.count)]
+
+    def _replace(self, event: Event) -> None:
+        for at, backend in zip(self._spread(event), self._take(event.count)):
+            self._drain_and_remove(at, [backend], event.drain_s)
+            after = backend if self.random.random() < 1 / 2 else self.fleet.like(backend)
+            self._at(at + event.drain_s + event.back_s, "add", [_as(after, "ready")])
+
+    def _drain_and_remove(self, at: float, backends: list[ListedBackend], drain_s: float) -> None:
+        self._at(at, "drain", [_as(backend, "draining") for backend in backends])
+        self._at(at + drain_s, "remove", [_as(backend, "gone") for backend in backends])
+
+    def _fail(self, event: Event) -> None:
+        for at, backend in zip(self._spread(event), self._take(event.count)):
+            self._lost(event, at, [backend], event.back_s)
+
+    def _lost(self, event: Event, at: float, backends: list[ListedBackend], back_s: float) -> None:
+        """Backends end without a word, discovery notices, and they come back cold."""
+        self._at(at, "crash", [_as(backend, "gone") for backend in backends])
+        noticed = at + event.noticed_s
+        self._at(noticed, "remove", [_as(backend, "gone") for backend in backends])
+        self._at(noticed + back_s, "add", [_as(backend, "ready") for backend in backends])
+
+    def _configure(self, event: Event) -> None:
+        bad = set(self.random.sample(range(event.count), min(event.refused, event.count)))
+        for number, at in enumerate(self._spread(event)):
+            self._at(at, "configure_badly" if number in bad else "configure")
+
+    def _rack(self, event: Event) -> None:
+        groups = sorted({backend.group for backend in self.untouched})
+        for group in self.random.sample(groups, min(event.count, len(groups))):
+            rack = [backend for backend in self.untouched if backend.group == group]
+            self.untouched = [backend for backend in self.untouched if backend.group != group]
+            self._lost(event, event.at_s, rack, event.for_s)
+
+    def _zone(self, event: Event) -> None:
+        zones = coordinator_zones(self.scenario)
+        for zone in self.random.sample(sorted(set(zones)), min(event.count, len(set(zones)))):
+            inside = [backend for backend in self.untouched if backend.zone == zone]
+            self.untouched = [backend for backend in self.untouched if backend.zone != zone]
+            names = [coordinator_name(index) for index, each in enumerate(zones) if each == zone]
+            self._at(event.at_s, "kill", names=names)
+            self._at(event.at_s, "collectors_down", names=[zone])
+            self._lost(event, event.at_s, inside, event.for_s)
+            self._at(event.at_s + event.noticed_s + event.for_s, "collectors_up", names=[zone])
+            self._at(event.at_s + event.noticed_s + event.for_s, "start", names=names)
+
+    def _partition(self, event: Event) -> None:
+        regions = sorted({zone.partition("-")[0] for zone in coordinator_zones(self.scenario)})
+        cut = self.random.sample(regions, min(event.count, len(regions)))
+        self._at(event.at_s, "cut", names=cut)
+        change = event.at_s + PARTITION_CHANGE * event.for_s
+        drained = self._take(4)
+        self._at(change, "drain", [_as(backend, "draining") for backend in drained])
+        self._at(change, "configure")
+        self._at(event.at_s + event.for_s, "heal", names=cut)
+        after = event.at_s + event.for_s + event.drain_s
+        self._at(after, "remove", [_as(backend, "gone") for backend in drained])
+
+    def _restart(self, event: Event) -> None:
+        for at, index in zip(self._spread(event), range(min(event.count, self.scenario.coordinators.real))):
+            name = coordinator_name(index)
+            self._at(at, "terminate", names=[name])
+            self._at(at + event.back_s, "start", names=[name])
+
+    def _stall(self, event: Event) -> None:
+        self._at(event.at_s, "stall", lasting=event.for_s)
+        lead = STALL_LEAD / SECOND
+        self._drain_and_remove(event.at_s + lead, self._take(event.count), event.drain_s)
+
+    def _duplicate(self, event: Event) -> None:
+        for at, backend in zip(self._spread(event), self._take(event.count)):
+            self._at(at, "duplicate", [_as(backend, "draining")])
+            self._at(at + event.drain_s, "remove", [_as(backend, "gone")])
+
+    def _reorder(self, event: Event) -> None:
+        for at, backend in zip(self._spread(event), self._take(event.count)):
+            self._at(at, "reorder", [_as(backend, "draining"), _as(backend, "gone")])
+
+    def _end_watches(self, event: Event) -> None:
+        for at in self._spread(event):
+            self._at(at, "end_watches")
+
+    def _kill_hollow(self, event: Event) -> None:
+        self._at(event.at_s, "kill_hollow")
+
+
+def _as(backend: ListedBackend, status: str) -> ListedBackend:
+    return msgspec.structs.replace(backend, status=status)
--- /dev/null
+++ b/granitespool/scale/schema.py
@@ -0,0 +1,214 @@
+"""What a scenario's INI file may say; every key has its unit in its name."""
+
+import importlib.resources
+import os
+from collections.abc import Iterable
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+from granitespool import ini
+from granitespool.lab.schema import changed
+from granitespool.settings import BadInput
+
+Seconds = Annotated[float, Meta(ge=0, le=86_400)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+EVENT = "event."  # what the name of an event's section begins with
+FOLDER = "granitespool.scale"
+
+
+class Scale(msgspec.Struct, frozen=True, kw_only=True):
+    """[scale]"""
+
+    title: Annotated[str, Meta(min_length=1)]
+    seed: Annotated[int, Meta(ge=0, le=10**9)] = 1
+
+
+class Fleet(msgspec.Struct, frozen=True, kw_only=True):
+    """[fleet]"""
+
+    backends: Annotated[int, Meta(ge=10, le=20_000)] = 2_900
+    services: Annotated[int, Meta(ge=1, le=1_000)] = 49
+    regions: Annotated[int, Meta(ge=1, le=64)] = 5
+    zones_per_region: Annotated[int, Meta(ge=1, le=64)] = 4
+    rack_backends: Annotated[int, Meta(ge=1, le=1_000)] = 20
+    batch_ms: Annotated[float, Meta(ge=1, le=60_000)] = 200.0  # discovery tells changes together so often
+
+
+class Coordinators(msgspec.Struct, frozen=True, kw_only=True):
+    """[coordinators]"""
+
+    real: Annotated[int, Meta(ge=1, le=64)] = 8
+    hollow: Annotated[int, Meta(ge=0, le=5_000)] = 672
+    hollow_processes: Annotated[int, Meta(ge=1, le=16)] = 4
+    memory_mb: Annotated[int, Meta(ge=32, le=65_536)] = 256
+    sockets: Annotated[int, Meta(ge=64, le=65_536)] = 1_024
+
+
+class Proxies(msgspec.Struct, frozen=True, kw_only=True):
+    """[proxies]"""
+
+    per_coordinator: Annotated[int, Meta(ge=1, le=10_000)] = 70
+    per_hollow: Annotated[int, Meta(ge=0, le=1_000)] = 1  # streams to each hollow coordinator
+    first_table_lines: Annotated[int, Meta(ge=1, le=1_000)] = 20  # backends that a new proxy knows
+    other_region_share: Share = 0.25  # of the proxies of each coordinator, those of another region
+
+
+class Traffic(msgspec.Struct, frozen=True, kw_only=True):
+    """[traffic]"""
+
+    links_per_s: Annotated[float, Meta(ge=0, le=1e6)] = 500.0  # `heard` reports to each real coordinator
+    proxy_requests_per_s: Annotated[float, Meta(ge=0.1, le=1e6)] = 20.0
+    sampled_per_s: Annotated[float, Meta(ge=0, le=1_000)] = 0.5  # requests of each proxy that are followed
+    load: Annotated[float, Meta(ge=0.01, le=5)] = 0.5  # work asked for over what all backends can do
+    service_ms: Annotated[float, Meta(ge=0.1, le=60_000)] = 40.0
+    failing_share: Share = 0.002  # of the tries at a backend that is well
+    classes: Annotated[int, Meta(ge=1, le=5_000)] = 3
+
+
+class Channel(msgspec.Struct, frozen=True, kw_only=True):
+    """[channel]"""
+
+    lines_per_s: Annotated[float, Meta(ge=1, le=1e9)] = 4_000.0
+    backlog_lines: Annotated[float, Meta(ge=1, le=1e9)] = 8_000.0
+    head_lines: Annotated[int, Meta(ge=0, le=1_000)] = 3
+    delay_ms: Annotated[float, Meta(ge=0, le=60_000)] = 30.0
+    messages: Annotated[int, Meta(ge=1, le=100_000)] = 30  # to one proxy in `messages_span_s` at most
+    messages_span_s: Annotated[float, Meta(ge=0.1, le=3_600)] = 10.0
+
+
+class Rules(msgspec.Struct, frozen=True, kw_only=True):
+    """[rules]"""
+
+    drain_grace_s: Seconds = 6.2
+    empty_limit_s: Seconds = 4.0
+    cold_s: Seconds = 10.0
+    cold_share: Annotated[float, Meta(ge=0.01, le=1)] = 0.25
+    fall_multiple: Annotated[float, Meta(ge=1, le=1_000)] = 4.0
+    fall_s: Seconds = 3.0
+
+
+class Times(msgspec.Struct, frozen=True, kw_only=True):
+    """[times]"""
+
+    ready_s: Seconds = 60.0  # within which all coordinators have to answer
+    warm_s: Seconds = 5.0  # after the last is ready, before anything is measured
+    idle_s: Seconds = 10.0  # without reports
+    reports_s: Seconds = 10.0  # with reports, before the events
+    events_s: Seconds = 0.0  # from the first second of the events
+    settle_s: Seconds = 10.0  # after the events, for what is still on its way
+
+
+class Event(msgspec.Struct, frozen=True, kw_only=True):
+    """[event.NAME]"""
+
+    kind: Literal[
+        "replace",
+        "fail",
+        "configure",
+        "rack",
+        "zone",
+        "partition",
+        "restart",
+        "stall",
+        "duplicate",
+        "reorder",
+        "end_watches",
+        "kill_hollow",
+    ]
+    at_s: Seconds = 0.0
+    for_s: Seconds = 1.0
+    count: Annotated[int, Meta(ge=1, le=100_000)] = 1
+    refused: Annotated[int, Meta(ge=0, le=1_000)] = 0  # of the configurations, those that cannot be used
+    drain_s: Seconds = 7.0  # from a backend's drain until it is gone
+    noticed_s: Seconds = 2.0  # from a backend's failure until discovery tells of it
+    back_s: Seconds = 2.0  # from a backend's end until it is back, or another is there in its place
+
+
+SECTIONS = {
+    "scale": Scale,
+    "fleet": Fleet,
+    "coordinators": Coordinators,
+    "proxies": Proxies,
+    "traffic": Traffic,
+    "channel": Channel,
+    "rules": Rules,
+    "times": Times,
+}
+
+
+class Scenario(msgspec.Struct, frozen=True, kw_only=True):
+    """A whole scenario, as it is played."""
+
+    name: str
+    scale: Scale
+    fleet: Fleet = Fleet()
+    coordinators: Coordinators = Coordinators()
+    proxies: Proxies = Proxies()
+    traffic: Traffic = Traffic()
+    channel: Channel = Channel()
+    rules: Rules = Rules()
+    times: Times = Times()
+    events: dict[str, Event] = {}
+
+    @property
+    def zones(self) -> list[str]:
+        """All zones, those of one region after those of another."""
+        return [
+            f"r{region}-z{zone}"
+            for region in range(self.fleet.regions)
+            for zone in range(self.fleet.zones_per_region)
+        ]
+
+
+def names() -> list[str]:
+    """The scenarios that come with the program."""
+    folder = importlib.resources.files(FOLDER) / "experiments"
+    return sorted(entry.name[: -len(".ini")] for entry in folder.iterdir() if entry.name.endswith(".ini"))
+
+
+def load(told: str, changes: Iterable[str] = ()) -> Scenario:
+    """The scenario of a file or of a name that `names` has, with other values for some keys.
+
+    A change is `SECTION.KEY=VALUE`, or `KEY=VALUE` where one section alone has the key. Ends in BadInput."""
+    known = names()
+    if told in known and not os.path.exists(told):
+        path = f"{told}.ini"
+        text = (importlib.resources.files(FOLDER) / "experiments" / path).read_text()
+    else:
+        path = told
+        try:
+            with open(path, encoding="utf-8") as file:
+                text = file.read()
+        except (OSError, UnicodeDecodeError) as error:
+            raise BadInput(
+                f"{told}: no such scenario ({', '.join(known)} come with the program), and as a file it "
+                f"cannot be read: {getattr(error, 'strerror', error)}"
+            ) from None
+    for change in changes:
+        text = changed(text, _with_section(change))
+    read = ini.parse(path, text, {**SECTIONS, EVENT + "*": Event})
+    if "scale" not in read:
+        raise BadInput(f"{path}: it lacks the section [scale]")
+    events = {name.removeprefix(EVENT): read.pop(name) for name in list(read) if name.startswith(EVENT)}
+    name = os.path.basename(told).removesuffix(".ini")
+    return Scenario(name=name, **read, events=events)
+
+
+def _with_section(change: str) -> str:
+    """The change with the section that alone has its key."""
+    key, equals, value = change.partition("=")
+    if not equals:
+        raise BadInput(f"--set {change!r:.60} is no KEY=VALUE")
+    if "." in key:
+        return change
+    having = [
+        section
+        for section, struct in SECTIONS.items()
+        if key.strip() in (field.name for field in msgspec.structs.fields(struct))
+    ]
+    if len(having) != 1:
+        what = "no section has this key" if not having else f"sections {', '.join(having)} have it"
+        raise BadInput(f"--set {key!r:.60}: {what}; name one as SECTION.KEY")
+    return f"{having[0]}.{key.strip()}={value}"
