--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 PYTHON ?= python3
 BIN = .venv/bin
 
-.PHONY: proto build test lint run toy crash bench-log bench-state bench-restart bench-manage bench-ready
+.PHONY: proto build test lint run toy crash bench-log bench-state bench-restart bench-manage bench-ready \
+	scale scale-ci
 
 build: $(BIN)/.built
 
@@ -42,6 +43,14 @@
 bench-restart: build
 	$(BIN)/python -m granitespool lab run restart --set "sizes=30x150, 120x640, 500x2000"
 
+SCENARIO ?= steady
+
+scale: build
+	$(BIN)/python -m granitespool scale run $(SCENARIO) --report scale.json
+
+scale-ci: build
+	$(BIN)/python -m granitespool scale run ci
+
 # the messages' code, after a change of gnmi.proto
 proto: build
 	cd granitespool/gnmi && ../../$(BIN)/python -m grpc_tools.protoc -I. --python_out=. gnmi.proto
--- a/granitespool/cli/__init__.py
+++ b/granitespool/cli/__init__.py
@@ -8,6 +8,8 @@
   granitespool keys show FILE...
   granitespool lab list
   granitespool lab run EXPERIMENT [--set KEY=VALUE]... [--json] [--plot FILE]
+  granitespool scale list
+  granitespool scale run SCENARIO [--set KEY=VALUE]... [--seed N] [--report FILE] [--plot FILE]
   granitespool version
   granitespool (-h | --help)
 
@@ -21,6 +23,8 @@
   keys     Make a private authority, a server's and clients' certificates for trying out; or say of whom
            certificates are and when they end (exit code 1 where one has ended, or will within two weeks).
   lab      Play an experiment in virtual time: a file, or a name that `lab list` lists.
+  scale    Play a scenario in real time on loopback, with real and hollow coordinators: a file, or a name that
+           `scale list` lists (exit code 1 where a rule was broken or the run itself failed).
   version  Print the version.
 
 Options:
@@ -30,7 +34,9 @@
   --name NAME      A name or address that the server is reached by [default: 127.0.0.1].
   --user NAME      A client's common name [default: operations].
   --days DAYS      How long certificates hold [default: 90].
-  --set KEY=VALUE  Another value for a key of the experiment.
+  --set KEY=VALUE  Another value for a key of the experiment or scenario.
+  --seed N         Another seed for the scenario.
+  --report FILE    The scenario's whole report as JSON, beside the table.
   --json           The result as JSON instead of a table.
   --plot FILE      A plot of the result as PNG, SVG or PDF; needs the extra `plot`.
   -h --help        This text.
@@ -74,6 +80,8 @@
         from granitespool.cli.keys import run  # noqa: PLC0415
     elif told["lab"]:
         from granitespool.cli.lab import run  # noqa: PLC0415
+    elif told["scale"]:
+        from granitespool.cli.scale import run  # noqa: PLC0415
     elif told["check"]:
         from granitespool.cli.check import run  # noqa: PLC0415
     else:
@@ -105,6 +113,8 @@
             "--operator",
             "--set",
             "--json",
+            "--seed",
+            "--report",
             "--plot",
             "--name",
             "--user",
