--- a/granitespool/cli/__init__.py
+++ b/granitespool/cli/__init__.py
@@ -10,6 +10,7 @@
   granitespool lab run EXPERIMENT [--set KEY=VALUE]... [--json] [--plot FILE]
   granitespool scale list
   granitespool scale run SCENARIO [--set KEY=VALUE]... [--seed N] [--report FILE] [--plot FILE]
+  granitespool scale plot PLOT REPORT...
   granitespool version
   granitespool (-h | --help)
 
@@ -24,7 +25,8 @@
            certificates are and when they end (exit code 1 where one has ended, or will within two weeks).
   lab      Play an experiment in virtual time: a file, or a name that `lab list` lists.
   scale    Play a scenario in real time on loopback, with real and hollow coordinators: a file, or a name that
-           `scale list` lists (exit code 1 where a rule was broken or the run itself failed).
+           `scale list` lists (exit code 1 where a rule was broken or the run itself failed); or plot what
+           coordinators cost against the size of the fleet, from reports of several runs.
   version  Print the version.
 
 Options:
--- a/granitespool/cli/scale.py
+++ b/granitespool/cli/scale.py
@@ -3,8 +3,11 @@
 import sys
 from typing import Any
 
+import msgspec
+
 from granitespool.cli import FAILED
 from granitespool.scale import plot, report, runner, schema
+from granitespool.settings import BadInput
 
 
 def run(told: dict[str, Any]) -> int:
@@ -13,6 +16,10 @@
         for name in schema.names():
             print(f"{name:12} {schema.load(name).scale.title}")
         return 0
+    if told["plot"]:
+        return _plot(told["PLOT"], told["REPORT"])
+    if told["--plot"]:
+        plot.require()  # before a run of minutes
     changes = [*told["--set"], *([f"scale.seed={told['--seed']}"] if told["--seed"] is not None else ())]
     scenario = schema.load(told["SCENARIO"], changes)
     result = runner.play(scenario, lambda words: print(words, file=sys.stderr))
@@ -26,3 +33,15 @@
         print("granitespool: the scenario did not pass", file=sys.stderr)
         return FAILED
     return 0
+
+
+def _plot(path: str, reports: list[str]) -> int:
+    read = []
+    for each in reports:
+        try:
+            with open(each, "rb") as file:
+                read.append(report.of_json(file.read()))
+        except msgspec.DecodeError as error:
+            raise BadInput(f"{each} is no report of a scale run: {error}") from None
+    plot.plot(read, path)
+    return 0
--- a/granitespool/scale/coordinators.py
+++ b/granitespool/scale/coordinators.py
@@ -70,6 +70,7 @@
         self.exit_codes: list[int] = []
         self.list_index = 0  # version of the list that its log told last
         self.older_lists = self.older_settings = self.probes = 0
+        self.log_lines = 0  # since the measuring began
         self.faults: list[str] = []
         self.log_events: Counter[str] = Counter()
 
@@ -189,6 +190,7 @@
             self.samples.append(found)
 
     def _logged(self, line: dict[str, Any]) -> None:
+        self.log_lines += 1
         event = line.get("event")
         if event in LOGGED_FAULTS:
             self.log_events[event] += 1
--- a/granitespool/scale/hollow_fleet.py
+++ b/granitespool/scale/hollow_fleet.py
@@ -102,6 +102,7 @@
         self.world.loop.spawn(lines_of(self.world.loop, process.child, process.hear))
 
     def _join(self, process: HollowProcess) -> None:
+        process.samples.clear()  # what the start took is not what it costs
         channel = self.world.scenario.channel
         for name, address in zip(process.names, process.told.addresses):
             queue = ChannelQueue(
--- a/granitespool/scale/plot.py
+++ b/granitespool/scale/plot.py
@@ -1,19 +1,26 @@
 """Plots of runs: what a coordinator costs, against the size of the fleet."""
 
+import importlib.util
+
 from granitespool.scale.report import Report
 from granitespool.settings import BadInput
 
 PHASES = (("idle", "idle_share"), ("reports", "reports_share"), ("worst second", "worst_second_share"))
 
 
+def require() -> None:
+    """Ends in BadInput where matplotlib is not there."""
+    if importlib.util.find_spec("matplotlib") is None:
+        raise BadInput("a plot needs the extra `plot` (pip install granitespool[plot])")
+
+
 def plot(reports: list[Report], path: str) -> None:
     """Writes a plot (PNG, SVG or PDF); ends in BadInput where matplotlib is not there.
 
     Each point is one real coordinator of one run, at the run's number of backends."""
-    try:
-        import matplotlib  # noqa: PLC0415 an extra, and slow to import
-    except ImportError:
-        raise BadInput("a plot needs the extra `plot` (pip install granitespool[plot])") from None
+    require()
+    import matplotlib  # noqa: PLC0415 an extra, and slow to import
+
     matplotlib.use("Agg")
     from matplotlib import pyplot  # noqa: PLC0415
 
--- a/granitespool/scale/processes.py
+++ b/granitespool/scale/processes.py
@@ -35,13 +35,14 @@
     at: int  # ns
     processor: int  # ns of processor time since its start
     resident: int  # bytes
+    descriptors: int = 0  # that are open
 
 
 def sample(pid: int, now: int) -> Sample | None:
     """What a process has used by now (ns); None where it has ended."""
     try:
         pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
-        return Sample(now, _processor(pid), pages * PAGE)
+        return Sample(now, _processor(pid), pages * PAGE, len(os.listdir(f"/proc/{pid}/fd")))
     except (OSError, IndexError, ValueError):
         return None
 
--- a/granitespool/scale/proxies.py
+++ b/granitespool/scale/proxies.py
@@ -277,14 +277,14 @@
     def _usage(self, sock: socket.socket, place: "CoordinatorPlace") -> Wait:
         if not place.reports or not self.classes:
             return
-        total = round(self.rate / len(self.classes))
+        mean = self.rate / len(self.classes)
         reports = b"".join(
             frame(
                 {
                     "type": "usage",
                     "node": self.number,
                     "route": name,
-                    "total": total,
+                    "total": int(mean) + (self.random.random() < mean % 1),
                     "errors": 0,
                     "interval": USAGE_EVERY / MS,
                 }
--- a/granitespool/scale/report.py
+++ b/granitespool/scale/report.py
@@ -34,8 +34,9 @@
 class KindTraffic(msgspec.Struct, frozen=True, kw_only=True):
     """Messages of one kind between a coordinator and the others."""
 
-    messages: int
+    messages: int  # of the whole run
     bytes: int
+    bytes_per_s: float = 0.0  # while it was measured: without the start
 
 
 class CoordinatorRow(msgspec.Struct, frozen=True, kw_only=True):
@@ -47,6 +48,8 @@
     reports_share: float | None
     worst_second_share: float | None
     resident_mb: float
+    descriptors: int  # most that were open at once
+    log_lines_per_s: float
     in_bytes_per_s: float
     out_bytes_per_s: float
     traffic: dict[str, KindTraffic]  # "in heard" -> what came
@@ -129,6 +132,11 @@
         )
 
 
+def of_json(data: bytes) -> Report:
+    """What `as_json` gave; ends in msgspec.DecodeError where it is something else."""
+    return msgspec.json.decode(data, type=Report)
+
+
 def as_json(report: Report) -> str:
     """The report as indented JSON, with its verdict."""
     verdict = {"passed": report.passed, **msgspec.to_builtins(report)}
@@ -137,7 +145,7 @@
 
 def table(report: Report) -> list[str]:
     """The report as lines for a terminal."""
-    head = ["coordinator", "zone", "idle", "reports", "worst s", "memory", "in", "out", "ready"]
+    head = ["coordinator", "zone", "idle", "reports", "worst s", "memory", "fds", "in", "out", "ready"]
     rows = [
         [
             row.name,
@@ -146,6 +154,7 @@
             _share(row.reports_share),
             _share(row.worst_second_share),
             f"{row.resident_mb:.0f} MB",
+            str(row.descriptors),
             f"{row.in_bytes_per_s / 1000:.1f} kB/s",
             f"{row.out_bytes_per_s / 1000:.1f} kB/s",
             " ".join(f"{ms / 1000:.2f} s" for ms in row.ready_ms),
@@ -159,11 +168,24 @@
         f"machine: {machine.cores} cores, load {machine.load_before:.1f} before and "
         f"{machine.load_after:.1f} after",
         *_columns([head, *rows]),
+        *(_kinds(report, direction) for direction in ("in", "out")),
         *_fleet(report),
         *_verdict(report),
     ]
 
 
+def _kinds(report: Report, direction: str) -> str:
+    """One line: bytes a second by kind, means over the real coordinators, the largest first."""
+    sums: dict[str, float] = {}
+    for row in report.coordinators:
+        for kind, traffic in row.traffic.items():
+            if kind.startswith(direction + " "):
+                sums[kind] = sums.get(kind, 0.0) + traffic.bytes_per_s / len(report.coordinators)
+    shown = sorted(sums.items(), key=lambda item: -item[1])
+    words = (f"{kind.partition(' ')[2]} {rate:.0f}" for kind, rate in shown)
+    return f"bytes a second {direction}, mean of a coordinator: " + ", ".join(words)
+
+
 def _fleet(report: Report) -> list[str]:
     lines = []
     if report.hollow:
--- a/granitespool/scale/runner.py
+++ b/granitespool/scale/runner.py
@@ -152,6 +152,8 @@
         yield from self._sleep(times.warm_s)
         self.measured.begin = self.loop.clock()
         self.bytes_before = Counter(self.world.recorder.bytes)
+        for coordinator in self.world.coordinators:
+            coordinator.log_lines = 0
         self.told("idle")
         yield from self._span(self.idle, times.idle_s)
         self.world.reports(True)
@@ -400,12 +402,19 @@
             recorder.count(coordinator.name, "in", "probe answer", answered, coordinator.probes)
         traffic = {
             f"{direction} {kind}": report.KindTraffic(
-                messages=count, bytes=recorder.bytes[name, direction, kind]
+                messages=count,
+                bytes=recorder.bytes[name, direction, kind],
+                bytes_per_s=self._rate((name, direction, kind)),
             )
             for (name, direction, kind), count in sorted(recorder.messages.items())
             if name == coordinator.name
         }
-        rates = {direction: self._rate(coordinator.name, direction) for direction in ("in", "out")}
+        rates = {
+            direction: round(
+                sum(t.bytes_per_s for kind, t in traffic.items() if kind.split()[0] == direction), 1
+            )
+            for direction in ("in", "out")
+        }
         samples = coordinator.samples
         return report.CoordinatorRow(
             name=coordinator.name,
@@ -414,6 +423,8 @@
             reports_share=share_in(samples, self.reported),
             worst_second_share=worst_second(samples, self.measured.begin),
             resident_mb=round(max((each.resident for each in samples), default=0) / MEGABYTE, 1),
+            descriptors=max((each.descriptors for each in samples), default=0),
+            log_lines_per_s=round(self._per_second(coordinator.log_lines), 2),
             in_bytes_per_s=rates["in"],
             out_bytes_per_s=rates["out"],
             traffic=traffic,
@@ -422,15 +433,14 @@
             log_events=dict(sorted(coordinator.log_events.items())),
         )
 
-    def _rate(self, name: str, direction: str) -> float:
-        """Bytes a second of a coordinator while it was measured."""
+    def _rate(self, key: tuple[str, str, str]) -> float:
+        """Bytes a second of one kind of message of a coordinator while it was measured."""
+        moved = self.world.recorder.bytes[key] - self.bytes_before[key]
+        return round(self._per_second(moved), 1)
+
+    def _per_second(self, number: float) -> float:
         span = self.measured.end - self.measured.begin
-        moved = sum(
-            size - self.bytes_before[key]
-            for key, size in self.world.recorder.bytes.items()
-            if key[:2] == (name, direction)
-        )
-        return round(moved * SECOND / span, 1) if span > 0 else 0.0
+        return number * SECOND / span if span > 0 else 0.0
 
 
 def share_in(samples: list[Sample], span: Span) -> float | None:
--- a/granitespool/scale/schema.py
+++ b/granitespool/scale/schema.py
@@ -59,7 +59,8 @@
     """[traffic]"""
 
     links_per_s: Annotated[float, Meta(ge=0, le=1e6)] = 500.0  # `heard` reports to each real coordinator
-    proxy_requests_per_s: Annotated[float, Meta(ge=0.1, le=1e6)] = 20.0
+    tries_per_report: Annotated[float, Meta(ge=1, le=1e6)] = 2.0  # mean of a `heard`
+    proxy_requests_per_s: Annotated[float, Meta(ge=0.01, le=1e6)] = 1.0  # 47,000 of 680 x 70 proxies
     sampled_per_s: Annotated[float, Meta(ge=0, le=1_000)] = 0.5  # requests of each proxy that are followed
     load: Annotated[float, Meta(ge=0.01, le=5)] = 0.5  # work asked for over what all backends can do
     service_ms: Annotated[float, Meta(ge=0.1, le=60_000)] = 40.0
--- a/granitespool/scale/traffic.py
+++ b/granitespool/scale/traffic.py
@@ -198,7 +198,8 @@
         return [self._heard(name) for name in sorted(name for name in names if name is not None)]
 
     def _heard(self, name: str) -> bytes:
-        total = 1 + int(self.random.expovariate(1 / 5))
+        more = self.scenario.traffic.tries_per_report - 1
+        total = 1 + (round(self.random.expovariate(1 / more)) if more else 0)
         living = name in self.backends.living
         failing = self.scenario.traffic.failing_share if living else 1.0
         errors = sum(self.random.random() < failing for _ in range(total))
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -16,7 +16,7 @@
 from granitespool.net.config import checked
 from granitespool.net.discovery import Discovery
 from granitespool.net.loop import SECOND, Loop
-from granitespool.scale import fleet, plot, report, runner, schema
+from granitespool.scale import fleet, report, runner, schema
 from granitespool.scale.discovery import Agent, BackendList
 from granitespool.scale.fleet import MS, ListedBackend, MadeFleet, Network
 from granitespool.scale.plan import Plan, coordinator_zones
@@ -365,20 +365,27 @@
     assert times == sorted(times)
 
 
-def test_the_report_is_a_table_and_json_and_a_plot(played, tmp_path):
+def test_the_report_is_a_table_and_json(played):
     lines = report.table(played.result)
     assert lines[-1] == "passed" and any(line.startswith("c000") for line in lines)
     told = json.loads(report.as_json(played.result))
     assert told["passed"] is True and len(told["coordinators"]) == 3
-    path = tmp_path / "plot.png"
+    assert report.of_json(report.as_json(played.result).encode()) == played.result
+
+
+def test_reports_are_plotted_against_the_size_of_the_fleet(played, tmp_path, capsys):
+    where, path = tmp_path / "report.json", tmp_path / "plot.png"
+    where.write_text(report.as_json(played.result))
+    code = main(["scale", "plot", str(path), str(where), str(where)])
     try:
         import matplotlib  # noqa: F401, PLC0415
     except ImportError:
-        with pytest.raises(BadInput, match="extra `plot`"):
-            plot.plot([played.result], str(path))
+        assert code == 1 and "extra `plot`" in capsys.readouterr().err
     else:
-        plot.plot([played.result], str(path))
-        assert path.stat().st_size > 1000
+        assert code == 0 and path.stat().st_size > 1000
+    where.write_text("{}")
+    assert main(["scale", "plot", str(path), str(where)]) == 1
+    assert "is no report of a scale run" in capsys.readouterr().err
 
 
 def test_a_channel_that_is_too_late_for_a_drain_is_found_and_fails_the_command(capsys, tmp_path):
