Scale: how many backends have work, and the most laden over their mean; a question's end

Cause: a question that was closed while it gave its descriptor back waited in its finally, which is an error at the end of a run (seen in a full run of partition); and a fleet split into subsets may leave backends without any work, which no figure showed. Change: the wait stands after the question; two figures in the report.

--- a/granitespool/scale/coordinators.py
+++ b/granitespool/scale/coordinators.py
@@ -134,23 +134,26 @@
     def ask(self, question: bytes) -> Wait:
         """The answer to one message on a connection of its own; b"" where none came."""
         try:
-            with socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK) as sock:
-                until = self.loop.now + ASK_LIMIT
-                yield from dial(sock, self.place.address, until)
-                yield from send(sock, question, until)
-                answer = b""
-                while len(answer) < HEAD or len(answer) < HEAD + int.from_bytes(answer[:HEAD], "little"):
-                    data = yield from receive(sock, until)
-                    if not data:
-                        return b""
-                    answer += data
-                self.recorder.count(self.name, "in", "question", len(question))
-                self.recorder.count(self.name, "out", "answer", len(answer))
-                return answer
+            answer = yield from self._answer(question)
         except OSError:
-            return b""
-        finally:
-            yield None, 0, self.loop.now  # the descriptor is closed before another is opened
+            answer = b""
+        yield None, 0, self.loop.now  # the descriptor is closed before another is opened
+        return answer
+
+    def _answer(self, question: bytes) -> Wait:
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK) as sock:
+            until = self.loop.now + ASK_LIMIT
+            yield from dial(sock, self.place.address, until)
+            yield from send(sock, question, until)
+            answer = b""
+            while len(answer) < HEAD or len(answer) < HEAD + int.from_bytes(answer[:HEAD], "little"):
+                data = yield from receive(sock, until)
+                if not data:
+                    return b""
+                answer += data
+            self.recorder.count(self.name, "in", "question", len(question))
+            self.recorder.count(self.name, "out", "answer", len(answer))
+            return answer
 
     def has_settings(self, version: int) -> Wait:
         """Whether settings of this version or a later one are in force; None where no answer came."""
--- a/granitespool/scale/report.py
+++ b/granitespool/scale/report.py
@@ -113,6 +113,8 @@
     older_settings: int  # looks at which a coordinator had older settings than before
     older_lists: int  # lists that a coordinator took though they were older than what it had
     stream_resets: int  # streams that proxies ended because they could not use what came
+    backends_used: int  # at the end, by proxies of real coordinators
+    load_largest: float | None  # work of the most laden backend over the mean of those used
     requests: int
     requests_unserved: int
     trace_events: int
@@ -206,6 +208,10 @@
             worst = "none ended" if found.worst_ms is None else f"{found.worst_ms / 1000:.3f} s worst"
             median = "" if found.median_ms is None else f", {found.median_ms / 1000:.3f} s median"
             lines.append(f"{what}: {worst}{median}, {found.count} changes, {found.unfinished} unfinished")
+    lines.append(
+        f"backends in tables of real coordinators' proxies: {report.backends_used}, the most laden has "
+        + ("no work" if report.load_largest is None else f"{report.load_largest:.1f} times the mean of them")
+    )
     for row in report.cut:
         lines.append(
             f"cut {row.coordinator}: held list {row.list_held} of {row.list_newest}, settings "
--- a/granitespool/scale/runner.py
+++ b/granitespool/scale/runner.py
@@ -355,6 +355,7 @@
         world, scenario = self.world, self.scenario
         violations = checker.check(world.recorder.events, fleet.limits(scenario))
         spreading = list(world.spreading.values())
+        work = world.traffic.spread()
         hollow_failures = self.hollow.failures if self.hollow else ()
         failures = [
             *self.failures,
@@ -386,6 +387,8 @@
             older_settings=sum(each.older_settings for each in world.coordinators),
             older_lists=sum(each.older_lists for each in world.coordinators),
             stream_resets=sum(stream.resets for stream in world.streams),
+            backends_used=len(work),
+            load_largest=round(max(work.values()) * len(work) / sum(work.values()), 2) if work else None,
             requests=world.traffic.requests,
             requests_unserved=world.traffic.unserved,
             trace_events=len(world.recorder.events),
--- a/granitespool/scale/traffic.py
+++ b/granitespool/scale/traffic.py
@@ -102,6 +102,17 @@
                     knowing[name] += rate
         return work, knowing
 
+    def spread(self) -> dict[str, float]:
+        """Requests a second that the tables bring to each backend that gets any."""
+        work: dict[str, float] = {}
+        for stream in self.streams:
+            table, shut = stream.table.table, stream.table.shut
+            lines = {name: weight for name, weight in table.items() if weight > 0 and name not in shut}
+            total = sum(lines.values())
+            for name, weight in lines.items():
+                work[name] = work.get(name, 0.0) + stream.rate * weight / total
+        return work
+
     def _follow(self) -> None:
         share = self.scenario.traffic.sampled_per_s * TICK / SECOND
         for stream in self.streams:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -313,6 +313,8 @@
 
 
 def test_every_real_coordinator_is_measured(played):
+    assert 0 < played.result.backends_used <= len(played.world.list.entries)
+    assert played.result.load_largest >= 1
     for row in played.result.coordinators:
         assert 0 < row.idle_share < 1 and 0 < row.reports_share < 1 and row.worst_second_share > 0
         assert row.resident_mb > 5 and row.in_bytes_per_s > 0 and row.out_bytes_per_s > 0
