--- a/granitespool/scale/report.py
+++ b/granitespool/scale/report.py
@@ -7,7 +7,8 @@
 from granitespool.scale.checker import Violation
 from granitespool.scale.fleet import MS, SECOND
 
-MEGABYTE = 1 << 20
+VIOLATIONS_KEPT = 20  # in a report
+VIOLATIONS_PRINTED = 5
 
 
 class Times(msgspec.Struct, frozen=True, kw_only=True):
@@ -118,14 +119,15 @@
     requests: int
     requests_unserved: int
     trace_events: int
-    violations: list[Violation]
+    broken: dict[str, int]  # how often each rule was broken
+    violations: list[Violation]  # the first of them
     failures: list[str]  # of the run itself: a stand-in that failed, a process that ended, time run out
 
     @property
     def passed(self) -> bool:
         """Whether every rule was kept, and the run itself went as planned."""
         return not (
-            self.violations
+            self.broken
             or self.failures
             or self.older_settings
             or self.older_lists
@@ -228,11 +230,8 @@
         f"older settings {report.older_settings}, older lists {report.older_lists}, "
         f"streams reset by proxies {report.stream_resets}"
     ]
-    counts: dict[str, int] = {}
-    for violation in report.violations:
-        counts[violation.rule] = counts.get(violation.rule, 0) + 1
-    lines += [f"rule {rule} broken {count} times" for rule, count in sorted(counts.items())]
-    lines += [f"  {violation.text}" for violation in report.violations[:5]]
+    lines += [f"rule {rule} broken {count} times" for rule, count in sorted(report.broken.items())]
+    lines += [f"  {violation.text}" for violation in report.violations[:VIOLATIONS_PRINTED]]
     lines += [f"failed: {failure}" for failure in report.failures]
     lines.append("passed" if report.passed else "NOT PASSED")
     return lines
--- a/granitespool/scale/runner.py
+++ b/granitespool/scale/runner.py
@@ -392,7 +392,8 @@
             requests=world.traffic.requests,
             requests_unserved=world.traffic.unserved,
             trace_events=len(world.recorder.events),
-            violations=violations,
+            broken=dict(sorted(Counter(each.rule for each in violations).items())),
+            violations=violations[: report.VIOLATIONS_KEPT],
             failures=failures,
         )
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -409,6 +409,7 @@
     told = json.loads(where.read_text())
     assert told["passed"] is False and told["seed"] == 3
     assert {each["rule"] for each in told["violations"]} == {"drain"}
+    assert list(told["broken"]) == ["drain"] and told["broken"]["drain"] >= len(told["violations"]) > 0
 
 
 def test_the_command_lists_the_scenarios(capsys):
