--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,8 @@
 SCENARIO ?= steady
 
 scale: build
-	$(BIN)/python -m granitespool scale run $(SCENARIO) --report scale.json
+	mkdir -p logs
+	$(BIN)/python -m granitespool scale run $(SCENARIO) --report logs/scale.json
 
 scale-ci: build
 	$(BIN)/python -m granitespool scale run ci
