--- a/granitespool/scale/hollow_fleet.py
+++ b/granitespool/scale/hollow_fleet.py
@@ -79,7 +79,7 @@
     def start(self, measured: RealCoordinator) -> Wait:
         """Starts them with the profile of a real coordinator, and waits until all hold a list."""
         loop, times = self.world.loop, self.world.scenario.times
-        profile = profile_of(self.world.recorder, measured, loop.clock())
+        profile = profile_of(self.world.recorder, measured, loop.clock() + 1)  # after all that was seen
         for process in self.processes:
             self._start(process, profile)
         until = loop.now + int(times.ready_s * SECOND)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -255,6 +255,23 @@
     assert not running(child)
 
 
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGKILL, signal.SIGINT])
+def test_a_run_that_is_ended_leaves_no_process(number):
+    command = [sys.executable, "-m", "granitespool", "scale", "run", "ci", "--set", "hollow=0"]
+    with subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE) as run:
+        assert b"c000 is ready" in run.stderr.readline()
+        assert b"c001 is ready" in run.stderr.readline()
+        children = [int(pid) for pid in Path(f"/proc/{run.pid}/task/{run.pid}/children").read_text().split()]
+        assert len(children) >= 2
+        run.send_signal(number)
+        run.stderr.read()
+        assert run.wait(20) != 0
+    until = time.monotonic() + 5
+    while any(map(running, children)) and time.monotonic() < until:
+        time.sleep(0.02)
+    assert not any(map(running, children))
+
+
 def running(pid):
     try:
         return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] not in "ZX"
