Scale: a signal between a child's start and its parent's knowing of it ends both

Change: signals that end the run wait until the child is known; the test waits for no pipe that an orphan holds.

--- a/granitespool/scale/processes.py
+++ b/granitespool/scale/processes.py
@@ -22,6 +22,7 @@
 PAGE = resource.getpagesize()
 TICK = SECOND // os.sysconf("SC_CLK_TCK")  # ns of one tick of /proc/PID/stat
 PR_SET_PDEATHSIG = 1  # prctl: the signal that a child gets when its parent ends
+ENDS = signal.SIGTERM, signal.SIGINT, signal.SIGHUP  # that end a run in good order
 END_LIMIT = 5.0  # s from SIGTERM to SIGKILL
 READ = 65_536
 MEGABYTE = 1 << 20
@@ -60,6 +61,8 @@
     def __init__(self, command: list[str], memory_mb: int | None, sockets: int | None) -> None:
         parent = os.getpid()
         prctl = ctypes.CDLL(None, use_errno=True).prctl
+        # A signal that ends the parent waits until the child is known, or nobody would end that in good order
+        former = signal.pthread_sigmask(signal.SIG_BLOCK, ENDS)
 
         def prepare() -> None:  # in the child, before it becomes another program
             prctl(PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0)
@@ -69,16 +72,29 @@
                 resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
             if memory_mb:
                 resource.setrlimit(resource.RLIMIT_DATA, (memory_mb * MEGABYTE, memory_mb * MEGABYTE))
+            signal.pthread_sigmask(signal.SIG_SETMASK, former)
 
         root = str(Path(granitespool.__file__).parent.parent)
-        self.process = subprocess.Popen(
-            [sys.executable, *command],
-            stdin=subprocess.DEVNULL,
-            stdout=subprocess.PIPE,
-            preexec_fn=prepare,  # noqa: PLW1509 this program has one thread
-            env={**os.environ, "PYTHONPATH": root},
-        )
-        os.set_blocking(self.process.stdout.fileno(), False)
+        try:
+            self.process = subprocess.Popen(
+                [sys.executable, *command],
+                stdin=subprocess.DEVNULL,
+                stdout=subprocess.PIPE,
+                preexec_fn=prepare,  # noqa: PLW1509 this program has one thread
+                env={**os.environ, "PYTHONPATH": root},
+            )
+            os.set_blocking(self.process.stdout.fileno(), False)
+        finally:
+            self._unblock(former)
+
+    def _unblock(self, former: set[signal.Signals]) -> None:
+        """Lets signals come again; one that ends the parent now ends the child first."""
+        try:
+            signal.pthread_sigmask(signal.SIG_SETMASK, former)
+        except BaseException:
+            if hasattr(self, "process"):
+                self.close(0)
+            raise
 
     @property
     def pid(self) -> int:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -249,10 +249,7 @@
         assert Path(f"/proc/{child}").exists()
         parent.send_signal(signal.SIGKILL)
         parent.wait()
-    until = time.monotonic() + 5
-    while running(child) and time.monotonic() < until:
-        time.sleep(0.02)
-    assert not running(child)
+    assert not outlived([child])
 
 
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGKILL, signal.SIGINT])
@@ -264,12 +261,19 @@
         children = [int(pid) for pid in Path(f"/proc/{run.pid}/task/{run.pid}/children").read_text().split()]
         assert len(children) >= 2
         run.send_signal(number)
-        run.stderr.read()
         assert run.wait(20) != 0
+    assert not outlived(children)
+
+
+def outlived(children):
+    """Those that still run some seconds after their parent's end; none of them does after the call."""
     until = time.monotonic() + 5
     while any(map(running, children)) and time.monotonic() < until:
         time.sleep(0.02)
-    assert not any(map(running, children))
+    left = [pid for pid in children if running(pid)]
+    for pid in left:
+        os.kill(pid, signal.SIGKILL)
+    return left
 
 
 def running(pid):
