--- a/granitespool/scale/proxies.py
+++ b/granitespool/scale/proxies.py
@@ -331,8 +331,10 @@
 
 
 def settings_question(number: int) -> bytes:
-    """A joining that every coordinator refuses: for the number of the proxy where the settings in force do
-    not allow it, else for its zone. So it tells which settings are in force, and joins nobody."""
+    """A joining that every coordinator refuses, which tells the settings in force and joins nobody.
+
+    It is refused for the number of the proxy where the settings in force do not allow it, else for its zone.
+    """
     return frame({"type": "joined", "node": number, "locality": "-", "w": 0, "cold": True})
 
 
--- a/granitespool/scale/runner.py
+++ b/granitespool/scale/runner.py
@@ -519,7 +519,7 @@
 
 
 @contextmanager
-def ended_by_signals():
+def ended_by_signals() -> Generator[None, None, None]:
     """Within it SIGTERM and SIGHUP end the program in good order, as Ctrl-C does."""
 
     def end(number: int, _: object) -> None:
--- a/granitespool/scale/world.py
+++ b/granitespool/scale/world.py
@@ -1,5 +1,6 @@
 """Everyone around the coordinators of a run, on one loop and one clock, and what the plan does to them."""
 
+from collections.abc import Generator
 from pathlib import Path
 from random import Random
 
@@ -127,7 +128,7 @@
 
     # The list
 
-    def _publish_batches(self):
+    def _publish_batches(self) -> Generator[tuple, int, None]:
         while True:
             yield None, 0, self.loop.now + int(self.scenario.fleet.batch_ms * MS)
             if self.batch:
