--- /dev/null
+++ b/granitespool/scale/fits.py
@@ -0,0 +1,239 @@
+"""Least-squares fits of measured costs against the sizes that drive them, without I/O.
+
+The form of a fit (constant, proportional, linear, product of two sizes) is chosen by its residual and not
+assumed: a further parameter must lower the residual by more than `PARAMETER_PENALTY`. All residuals are
+relative to the measured cost, so that the small points of a sweep count as much as the large ones.
+"""
+
+import math
+from collections.abc import Iterable, Mapping, Sequence
+from itertools import combinations_with_replacement
+
+import msgspec
+
+NOISE_FLOOR = 0.02  # relative residual below which a better fit is no evidence for a further parameter
+PARAMETER_PENALTY = 1.5  # factor by which each further parameter must lower the residual to be chosen
+RESIDUAL_LIMIT = 0.25  # relative residual above which a form does not describe the samples
+ERROR_LIMIT = 0.25  # relative error above which the prediction of a held-out sample counts as off
+PIVOT_LEAST = 1e-12  # scaled pivot below which the normal equations are singular
+NEGATIVE_LEAST = -1e-9  # part of the mean cost below which a negative coefficient is more than rounding
+
+Term = tuple[str, ...]  # names of the sizes that are multiplied; the empty term is the constant 1
+
+
+class FitError(Exception):
+    """The samples do not allow the fit that was asked for."""
+
+
+class TooFewSamples(FitError):
+    """There are fewer samples than a fit and a judgement of it need."""
+
+
+class SingularFit(FitError):
+    """The samples do not determine the coefficients: a size of the form does not vary, or is always zero."""
+
+
+class FormRefused(FitError):
+    """No form describes the samples within the limit of the residual."""
+
+    def __init__(self, best: "Fit", limit: float) -> None:
+        super().__init__(f"{best.form.name} leaves a residual of {best.residual:.3f}, over {limit:.3f}")
+        self.best = best
+        self.limit = limit
+
+
+class Sample(msgspec.Struct, frozen=True):
+    """One measured cost, in any unit, at named sizes."""
+
+    sizes: Mapping[str, float]
+    cost: float
+
+
+class Form(msgspec.Struct, frozen=True):
+    """A sum of terms, each a product of sizes with a coefficient of its own."""
+
+    name: str
+    terms: tuple[Term, ...]
+
+
+class Fit(msgspec.Struct, frozen=True):
+    """A form with its coefficients; `residual` is the root mean square of the relative errors."""
+
+    form: Form
+    coefficients: tuple[float, ...]
+    residual: float
+
+    def predict(self, sizes: Mapping[str, float]) -> float:
+        """The cost at these sizes, in the unit of the samples."""
+        return sum(
+            coefficient * _value(term, sizes)
+            for coefficient, term in zip(self.coefficients, self.form.terms, strict=True)
+        )
+
+    @property
+    def text(self) -> str:
+        """The formula, as `0.12 + 3.4e-05 backends x zones`."""
+        pieces = [
+            f"{coefficient:.3g} {' x '.join(term)}".rstrip()
+            for coefficient, term in zip(self.coefficients, self.form.terms, strict=True)
+        ]
+        return " + ".join(pieces)
+
+
+class HeldOut(msgspec.Struct, frozen=True):
+    """A sample that the fit has not seen, with what the fit predicts for it."""
+
+    sample: Sample
+    predicted: float
+    error: float  # (predicted - measured) / measured
+    limit: float
+
+    @property
+    def is_off(self) -> bool:
+        """Whether the prediction misses by more than the limit."""
+        return not abs(self.error) <= self.limit
+
+
+def constant() -> Form:
+    """A cost that no size drives."""
+    return Form("constant", ((),))
+
+
+def proportional(size: str) -> Form:
+    """A cost that is a multiple of one size."""
+    return Form(f"proportional to {size}", ((size,),))
+
+
+def linear(size: str) -> Form:
+    """A fixed cost and a multiple of one size."""
+    return Form(f"linear in {size}", ((), (size,)))
+
+
+def product(first: str, second: str) -> Form:
+    """A multiple of the product of two sizes, which may be the same."""
+    return Form(f"product of {first} and {second}", ((first, second),))
+
+
+def product_with_base(first: str, second: str) -> Form:
+    """A fixed cost and a multiple of the product of two sizes, which may be the same."""
+    return Form(f"base and product of {first} and {second}", ((), (first, second)))
+
+
+def forms_of(sizes: Iterable[str]) -> list[Form]:
+    """Every form over these sizes that a cost may have."""
+    names = list(sizes)
+    forms = [constant()]
+    for name in names:
+        forms += [proportional(name), linear(name)]
+    for first, second in combinations_with_replacement(names, 2):
+        forms += [product(first, second), product_with_base(first, second)]
+    return forms
+
+
+def fit(samples: Sequence[Sample], form: Form) -> Fit:
+    """The coefficients that leave the least relative residual. Raises TooFewSamples or SingularFit."""
+    if len(samples) <= len(form.terms):
+        raise TooFewSamples(f"{len(samples)} samples for the {len(form.terms)} terms of {form.name}")
+    weights = _weights(samples)
+    rows = [
+        [weight * _value(term, sample.sizes) for term in form.terms]
+        for weight, sample in zip(weights, samples, strict=True)
+    ]
+    targets = [weight * sample.cost for weight, sample in zip(weights, samples, strict=True)]
+    coefficients = _least_squares(rows, targets)
+    errors = [
+        sum(c * value for c, value in zip(coefficients, row, strict=True)) - target
+        for row, target in zip(rows, targets, strict=True)
+    ]
+    residual = math.sqrt(sum(error * error for error in errors) / len(errors))
+    return Fit(form, tuple(coefficients), residual)
+
+
+def choose(samples: Sequence[Sample], forms: Iterable[Form], limit: float = RESIDUAL_LIMIT) -> Fit:
+    """The form with the least residual after the penalty for parameters.
+
+    Costs do not fall as a size grows, so a form with a negative coefficient is no candidate. Raises
+    FormRefused where the best leaves more than `limit`, TooFewSamples where nothing can be fitted.
+    """
+    fits = []
+    for form in forms:
+        try:
+            candidate = fit(samples, form)
+        except FitError:
+            continue
+        if not _has_negative(candidate, samples):
+            fits.append(candidate)
+    if not fits:
+        raise TooFewSamples(f"no form can be fitted to {len(samples)} samples")
+    best = min(fits, key=_penalized)
+    if best.residual > limit:
+        raise FormRefused(best, limit)
+    return best
+
+
+def check_held_out(chosen: Fit, sample: Sample, limit: float = ERROR_LIMIT) -> HeldOut:
+    """The prediction for a sample that the fit has not seen, beside its measurement."""
+    predicted = chosen.predict(sample.sizes)
+    if sample.cost:
+        error = (predicted - sample.cost) / sample.cost
+    else:
+        error = 0.0 if abs(predicted) < NOISE_FLOOR else math.inf
+    return HeldOut(sample, predicted, error, limit)
+
+
+def _value(term: Term, sizes: Mapping[str, float]) -> float:
+    return math.prod(sizes[name] for name in term)
+
+
+def _weights(samples: Sequence[Sample]) -> list[float]:
+    """One over each cost; a cost of zero weighs like the least that is above zero."""
+    least = min((abs(sample.cost) for sample in samples if sample.cost), default=1.0)
+    return [1 / (abs(sample.cost) or least) for sample in samples]
+
+
+def _penalized(candidate: Fit) -> float:
+    return max(candidate.residual, NOISE_FLOOR) * PARAMETER_PENALTY ** len(candidate.coefficients)
+
+
+def _has_negative(candidate: Fit, samples: Sequence[Sample]) -> bool:
+    mean = sum(abs(sample.cost) for sample in samples) / len(samples)
+    for coefficient, term in zip(candidate.coefficients, candidate.form.terms, strict=True):
+        largest = max(abs(_value(term, sample.sizes)) for sample in samples)
+        if coefficient * largest < NEGATIVE_LEAST * mean:
+            return True
+    return False
+
+
+def _least_squares(rows: list[list[float]], targets: list[float]) -> list[float]:
+    """Solves the normal equations after each column is scaled to length one."""
+    columns = list(zip(*rows, strict=True))
+    lengths = [math.sqrt(math.fsum(value * value for value in column)) for column in columns]
+    if not all(lengths):
+        raise SingularFit("a term is zero in all samples")
+    scaled = [[value / length for value in column] for column, length in zip(columns, lengths, strict=True)]
+    matrix = [
+        [math.fsum(a * b for a, b in zip(left, right, strict=True)) for right in scaled]
+        + [math.fsum(a * b for a, b in zip(left, targets, strict=True))]
+        for left in scaled
+    ]
+    solution = _solve(matrix)
+    return [value / length for value, length in zip(solution, lengths, strict=True)]
+
+
+def _solve(matrix: list[list[float]]) -> list[float]:
+    """Gaussian elimination with partial pivoting of a square matrix with its right side as last column."""
+    size = len(matrix)
+    for column in range(size):
+        pivot = max(range(column, size), key=lambda row: abs(matrix[row][column]))
+        if abs(matrix[pivot][column]) < PIVOT_LEAST:
+            raise SingularFit("the samples do not tell the terms apart")
+        matrix[column], matrix[pivot] = matrix[pivot], matrix[column]
+        for row in range(column + 1, size):
+            factor = matrix[row][column] / matrix[column][column]
+            for at in range(column, size + 1):
+                matrix[row][at] -= factor * matrix[column][at]
+    solution = [0.0] * size
+    for row in reversed(range(size)):
+        known = sum(matrix[row][at] * solution[at] for at in range(row + 1, size))
+        solution[row] = (matrix[row][size] - known) / matrix[row][row]
+    return solution
