--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN = .venv/bin
 
-.PHONY: proto build test lint run toy crash bench-log bench-state bench-restart bench-manage bench-ready
+.PHONY: proto build test lint run toy crash bench-log bench-state bench-restart bench-manage bench-ready bench-capacity
 
 build: $(BIN)/.built
 
@@ -33,6 +33,10 @@
 bench-ready: build
 	$(BIN)/python -m bench.ready
 
+# docs/CAPACITY.md: some minutes of one core
+bench-capacity: build
+	$(BIN)/python -m bench.capacity --json=docs/capacity.json --page=docs/CAPACITY.md $(if $(wildcard docs/capacity-before.json),--before=docs/capacity-before.json)
+
 bench-log: build
 	$(BIN)/python -m bench.log
 
--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""What a coordinator costs by size: sweeps, fits, and the tables of docs/CAPACITY.md."""
--- /dev/null
+++ b/bench/capacity/__main__.py
@@ -0,0 +1,116 @@
+"""What a coordinator costs by size, with fits and the tables of docs/CAPACITY.md.
+
+    python -m bench.capacity --json=docs/capacity.json --page=docs/CAPACITY.md
+
+Each point is measured in a process of its own, one at a time. A held-out point that is off, and a form that
+was refused, are named at the end and on the page.
+"""
+
+import sys
+
+import docopt
+import msgspec
+
+from bench.capacity import page, process, sweep
+from bench.capacity.fleet import Sizes
+from bench.capacity.point import Request
+
+USAGE = """Usage: capacity [--json=FILE] [--page=FILE] [--before=FILE] [--from=FILE] [--before-text=DIR]
+                [--base=SIZES] [--sizes=SWEEPS] [--scales=NAMES] [--seed=N] [--repeats=N] [--quiet]
+
+Options:
+  --json=FILE        write all figures there
+  --page=FILE        write the generated tables of this page anew, between its markers
+  --before=FILE      figures of a former text, for the table of before and after
+  --from=FILE        measure nothing, take the figures from there
+  --before-text=DIR  measure the scales on the program in this directory as well, in the same run
+  --base=SIZES       sizes that a sweep does not vary, as backends=600,zones=8
+  --sizes=SWEEPS     values of each sweep, the last one held out, as backends=150:300:600:900:1500,zones=...
+  --scales=NAMES     scales that are measured whole, of today,tenth,service,plan, or none  [default: all]
+  --seed=N           seed of all chance  [default: 1]
+  --repeats=N        measurements of a point, of which the least counts  [default: 3]
+  --quiet            tell no progress"""
+NONE = "none"
+ALL = "all"
+
+
+def main(words: list[str]) -> int:
+    """Measures or reads figures, writes them and prints the tables; returns the exit code."""
+    told = docopt.docopt(USAGE, words)
+    if told["--from"]:
+        result = _read(told["--from"])
+    else:
+        result = _measure(told)
+    if told["--json"]:
+        with open(told["--json"], "wb") as file:
+            file.write(msgspec.json.format(msgspec.json.encode(page.rounded(result)), indent=1) + b"\n")
+    before = _read(told["--before"]) if told["--before"] else None
+    tables = page.tables(result, before)
+    if told["--page"]:
+        page.rewrite(told["--page"], tables)
+    print("\n\n".join(tables.values()))
+    return 0
+
+
+def _read(path: str) -> sweep.Result:
+    with open(path, "rb") as file:
+        return msgspec.json.decode(file.read(), type=sweep.Result)
+
+
+def _base(text: str | None) -> Sizes:
+    if not text:
+        return sweep.BASE
+    pairs = (pair.split("=") for pair in text.split(","))
+    return msgspec.structs.replace(
+        sweep.BASE, **{name: float(value) if name == "requests" else int(value) for name, value in pairs}
+    )
+
+
+def _sweeps(text: str | None) -> dict[str, tuple[float, ...]]:
+    if text is None:
+        return sweep.SIZES
+    if text == NONE:
+        return {}
+    pairs = (pair.split("=") for pair in text.split(","))
+    return {name: tuple(map(float, values.split(":"))) for name, values in pairs}
+
+
+def _measure(told: dict) -> sweep.Result:
+    def tell(what: str) -> None:
+        if not told["--quiet"]:
+            print(what, file=sys.stderr, flush=True)
+
+    seed, repeats = int(told["--seed"]), int(told["--repeats"])
+    result = sweep.Result(seed=seed, repeats=repeats)
+    names = list(sweep.SCALES) if told["--scales"] == ALL else told["--scales"].split(",")
+    for name in names if told["--scales"] != NONE else ():
+        _scale(result, name, told["--before-text"], tell)
+    base = _base(told["--base"])
+    for size, values in _sweeps(told["--sizes"]).items():
+        result.sweeps.append(sweep.run_sweep(base, size, values, seed, repeats, tell))
+    if "plan" in result.scales:
+        result.plan_classes = _plan_classes(result, tell)
+        tell("state folder")
+        result.state_points, result.state_slope = sweep.state_points()
+    return result
+
+
+def _scale(result: sweep.Result, name: str, former: str | None, tell) -> None:
+    sizes = sweep.SCALES[name]
+    request = Request(sizes=sizes, seed=result.seed, repeats=result.repeats, events=True)
+    if former:
+        tell(f"{name}, former text")
+        result.before[name] = sweep.run_point(request, former)
+    tell(name)
+    result.scales[name] = sweep.run_point(request)
+    tell(f"{name}, process")
+    result.processes[name] = process.measure(sizes)
+
+
+def _plan_classes(result: sweep.Result, tell) -> sweep.Swept:
+    """The classes swept at the plan's other sizes."""
+    return sweep.run_sweep(sweep.PLAN, "classes", sweep.PLAN_CLASSES, result.seed, 1, tell)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,10 +1,15 @@
 """The capacity command: fits recover known slopes, refuse a wrong form and name a prediction that is off."""
 
+import json
 from random import Random
 
 import pytest
 
-from granitespool.scale import fits
+from bench.capacity import page, rows, sweep
+from bench.capacity.__main__ import main
+from bench.capacity.fleet import Sizes
+from bench.capacity.point import Request, measure
+from granitespool.scale import budget, fits
 
 SIZES = ({"backends": float(b), "zones": float(z)} for b in (100, 200, 400, 800) for z in (2, 4, 8))
 POINTS = list(SIZES)
@@ -86,3 +91,146 @@
 def test_a_held_out_point_that_costs_nothing_is_off_unless_nothing_was_predicted():
     chosen = fits.choose(samples(lambda s: 0.25 * s["backends"]), FORMS)
     assert fits.check_held_out(chosen, fits.Sample(POINTS[0], 0.0)).is_off
+
+
+TINY = Sizes(backends=12, zones=2, proxies=4, classes=2, tenants=2, requests=40.0, planners=2)
+COUNTED = (
+    "idle_calls",
+    "entry_calls",
+    "entry_lines",
+    "join_lines",
+    "join_bytes",
+    "busy_in_bytes",
+    "busy_lines",
+)
+PAGE = """Words before.
+
+<!-- capacity: slopes -->
+an old table
+<!-- end of slopes -->
+
+Words between.
+
+<!-- capacity: held out -->
+<!-- end of held out -->
+
+Words after.
+"""
+
+
+def tiny_words(tmp_path, *more):
+    (tmp_path / "page.md").write_text(PAGE)
+    base = "backends=12,zones=2,proxies=4,classes=2,tenants=2,requests=40,planners=2"
+    return [
+        "--scales=none",
+        f"--base={base}",
+        "--sizes=backends=8:12:16:20:32",
+        "--repeats=1",
+        "--quiet",
+        f"--json={tmp_path}/figures.json",
+        f"--page={tmp_path}/page.md",
+        *more,
+    ]
+
+
+def test_the_command_at_a_tiny_size_writes_its_figures_and_the_tables_of_the_page(tmp_path):
+    assert main(tiny_words(tmp_path)) == 0
+    (swept,) = json.loads((tmp_path / "figures.json").read_text())["sweeps"]
+    assert [point["sizes"]["backends"] for point in swept["points"]] == [8, 12, 16, 20, 32]
+    slopes = {slope["cost"]: slope for slope in swept["slopes"]}
+    assert set(slopes) == set(sweep.FITTED)
+    assert "in backends" in slopes["file_bytes"]["form"]  # counted, so the same in each run
+    assert abs(slopes["file_bytes"]["error"]) < 0.02
+    written = (tmp_path / "page.md").read_text()
+    assert "an old table" not in written
+    assert "| file_bytes | linear in backends |" in written
+    for words in ("Words before.", "Words between.", "Words after."):
+        assert words in written
+    figures = (tmp_path / "figures.json").read_text()
+    assert main(tiny_words(tmp_path, f"--from={tmp_path}/figures.json")) == 0
+    assert (tmp_path / "page.md").read_text() == written
+    assert (tmp_path / "figures.json").read_text() == figures
+
+
+def test_counted_costs_are_the_same_in_each_run_of_a_seed():
+    first, second = (measure(Request(sizes=TINY, seed=3, events=True)) for _ in range(2))
+    assert {name: first[name] for name in COUNTED} == {name: second[name] for name in COUNTED}
+    assert first["join_unbound"] == 0
+    assert first["named_together"] == TINY.backends
+
+
+def test_more_reports_are_brought_where_a_larger_share_of_links_is_heard():
+    few, many = (
+        measure(Request(sizes=sweep.with_size(TINY, "heard_share", share), seed=1)) for share in (0.2, 0.8)
+    )
+    assert few["heard_in_bytes"] < many["heard_in_bytes"]
+    assert sweep.with_size(TINY, "heard_share", 0.2).heard_share == pytest.approx(0.2)
+
+
+def made_up(costs):
+    """Points of a sweep over backends whose every fitted cost is one of these, in turn."""
+    return [
+        sweep.Point(sweep.with_size(TINY, "backends", backends), dict.fromkeys(sweep.FITTED, float(cost)))
+        for backends, cost in zip((100, 200, 300, 400, 800), costs)
+    ]
+
+
+def held_out_table(points):
+    result = sweep.Result(seed=1, repeats=1, sweeps=[sweep.sweep("backends", points)])
+    return page.tables(result, None)["held out"]
+
+
+def test_the_page_names_a_held_out_point_that_is_off_and_a_form_that_was_refused():
+    assert "`idle_ms`" not in held_out_table(made_up((10, 20, 30, 40, 80)))
+    assert "`idle_ms` over backends: predicted 80, measured 160" in held_out_table(
+        made_up((10, 20, 30, 40, 160))
+    )
+    assert "`idle_ms` over backends: no form" in held_out_table(made_up((10, 90, 10, 90, 10)))
+
+
+def test_a_page_without_a_place_for_a_table_is_an_error(tmp_path):
+    path = tmp_path / "page.md"
+    path.write_text("no markers\n")
+    with pytest.raises(page.MarkerMissing, match="slopes"):
+        page.rewrite(str(path), {"slopes": "a table"})
+    assert path.read_text() == "no markers\n"
+
+
+def row(cost, amount, limit):
+    return budget.Row(
+        role="coordinator",
+        cost=cost,
+        unit="ms",
+        values={"plan": budget.Value(amount, budget.Origin.MEASURED)},
+        source="made up",
+        module="rules.py",
+        limit=limit,
+    )
+
+
+def test_rows_stand_by_the_factor_over_their_limit_and_those_without_one_last():
+    found = [row("free", 900.0, None), row("within", 10.0, 29.0), row("over", 290.0, 29.0)]
+    assert [each.cost for each in budget.by_factor(found, ["plan"])] == ["over", "within", "free"]
+    assert found[2].worst(["plan", "unknown"]) == pytest.approx(10.0)
+
+
+def test_what_no_form_carries_to_3100_routes_is_left_open_and_not_made_up():
+    costs = dict.fromkeys(sweep.FITTED, 5.0) | {
+        "resident_mb": 30.0,
+        "rack_second_ms": 7.0,
+        "entry_row_bytes": 170,
+    }
+    plan = rows.Scale(sweep.PLAN, costs, False)
+    points = [
+        sweep.Point(
+            sweep.with_size(sweep.PLAN, "classes", classes),
+            dict.fromkeys(sweep.FITTED, float(classes)) | {"idle_ms": wild},
+        )
+        for classes, wild in zip((30, 60, 100, 200, 300), (1.0, 90.0, 2.0, 80.0, 3.0))
+    ]
+    worked_out = rows._with_routes(plan, sweep.sweep("classes", points)).costs
+    assert worked_out["join_ms"] == pytest.approx(3100.0)
+    assert worked_out["resident_mb"] == pytest.approx(30.0 - 5.0 + 3100.0)
+    assert worked_out["entry_row_bytes"] == 170
+    assert "idle_ms" not in worked_out
+    assert "rack_second_ms" not in worked_out
