--- a/granitespool/scale/fits.py
+++ b/granitespool/scale/fits.py
@@ -1,8 +1,9 @@
 """Least-squares fits of measured costs against the sizes that drive them, without I/O.
 
 The form of a fit (constant, proportional, linear, product of two sizes) is chosen by its residual and not
-assumed: a further parameter must lower the residual by more than `PARAMETER_PENALTY`. All residuals are
-relative to the measured cost, so that the small points of a sweep count as much as the large ones.
+assumed: a further term, or a further size of a term, must lower the residual by more than
+`PARAMETER_PENALTY`. All residuals are relative to the measured cost, so that the small points of a sweep count
+as much as the large ones.
 """
 
 import math
@@ -12,7 +13,7 @@
 import msgspec
 
 NOISE_FLOOR = 0.02  # relative residual below which a better fit is no evidence for a further parameter
-PARAMETER_PENALTY = 1.5  # factor by which each further parameter must lower the residual to be chosen
+PARAMETER_PENALTY = 1.5  # factor by which a further term, or size of a term, must lower the residual
 RESIDUAL_LIMIT = 0.25  # relative residual above which a form does not describe the samples
 ERROR_LIMIT = 0.25  # relative error above which the prediction of a held-out sample counts as off
 PIVOT_LEAST = 1e-12  # scaled pivot below which the normal equations are singular
@@ -192,7 +193,9 @@
 
 
 def _penalized(candidate: Fit) -> float:
-    return max(candidate.residual, NOISE_FLOOR) * PARAMETER_PENALTY ** len(candidate.coefficients)
+    """The residual times the penalty for each term, twice for a product of two sizes."""
+    complexity = sum(max(1, len(term)) for term in candidate.form.terms)
+    return max(candidate.residual, NOISE_FLOOR) * PARAMETER_PENALTY**complexity
 
 
 def _has_negative(candidate: Fit, samples: Sequence[Sample]) -> bool:
