--- a/bench/capacity/process.py
+++ b/bench/capacity/process.py
@@ -16,7 +16,9 @@
 from granitespool.net.frames import frame
 
 READY_WITHIN = 30.0  # s until the first ping has to be answered
-SETTLE = 1.0  # s between the first answer and the idle measurement
+SETTLE = 1.5  # s between the first answer and the next ping: the planner's first round lies between
+ANSWER_WITHIN = 20.0  # s after which a ping counts as not answered, and is told as that many
+END_WITHIN = 2.0  # s that a process has for its end before it is killed
 IDLE = 3.0  # s of the idle measurement
 RELOAD_WITHIN = 10.0  # s until a new configuration has to be in force
 PAUSE = 0.01  # s between two looks
@@ -69,12 +71,13 @@
 
     start_ms: float
     ready_s: float
+    answer_s: float  # until a ping is answered while the process idles
     idle_ms: float  # a second
     resident_mb: float
     descriptors: int
     log_lines: int  # from the start to the end, one reload among them
-    reload_ms: float
-    reload_s: float
+    reload_ms: float | None  # None where pings are not answered in time
+    reload_s: float | None
 
 
 def measure(sizes: Sizes) -> Measured:
@@ -109,26 +112,57 @@
         _wait_for_pong(listen, process)
         ready_s, start_ms = time.monotonic() - began, _spent_ms(process.pid)
         time.sleep(SETTLE)
+        answer_s = _answer_s(listen)
         before, idle_began = _spent_ms(process.pid), time.monotonic()
         time.sleep(IDLE)
         idle_ms = (_spent_ms(process.pid) - before) / (time.monotonic() - idle_began)
         resident_mb, descriptors = _resident_mb(process.pid), len(os.listdir(f"/proc/{process.pid}/fd"))
-        told["settings"]["rules"]["stop_sending_within_us"] += 1000
-        _write(path, told)
-        before, asked = _spent_ms(process.pid), time.monotonic()
-        process.send_signal(signal.SIGHUP)
-        _wait_for_event(log_path, b'"reloaded"')
-        reload_s, reload_ms = time.monotonic() - asked, _spent_ms(process.pid) - before
+        reload_ms = reload_s = None
+        if answer_s < ANSWER_WITHIN:
+            reload_ms, reload_s = _reloaded(process, path, told, log_path)
     finally:
-        process.send_signal(signal.SIGTERM)
-        process.wait()
+        _end(process)
     with open(log_path, "rb") as log:
         log_lines = len(log.readlines())
     return Measured(
-        start_ms, ready_s, idle_ms, resident_mb, descriptors, log_lines, max(0.0, reload_ms), reload_s
+        start_ms, ready_s, answer_s, idle_ms, resident_mb, descriptors, log_lines, reload_ms, reload_s
     )
 
 
+def _answer_s(listen: str) -> float:
+    """Seconds until a ping is answered, at most ANSWER_WITHIN."""
+    host, _, port = listen.rpartition(":")
+    began = time.monotonic()
+    try:
+        with socket.create_connection((host, int(port)), ANSWER_WITHIN) as sock:
+            sock.settimeout(ANSWER_WITHIN)
+            sock.sendall(frame({"type": "ping"}))
+            sock.recv(100)
+    except TimeoutError:
+        return ANSWER_WITHIN
+    return time.monotonic() - began
+
+
+def _reloaded(process: subprocess.Popen, path: str, told: dict, log_path: str) -> tuple[float, float]:
+    """Processor time in ms and wall time in s from SIGHUP until a changed file is in force."""
+    told["settings"]["rules"]["stop_sending_within_us"] += 1000
+    _write(path, told)
+    before, asked = _spent_ms(process.pid), time.monotonic()
+    process.send_signal(signal.SIGHUP)
+    _wait_for_event(log_path, b'"reloaded"')
+    return _spent_ms(process.pid) - before, time.monotonic() - asked
+
+
+def _end(process: subprocess.Popen) -> None:
+    """Ends the process; one that does not end in time is killed."""
+    process.send_signal(signal.SIGTERM)
+    try:
+        process.wait(END_WITHIN)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
+
+
 def _wait_for_pong(listen: str, process: subprocess.Popen) -> None:
     host, _, port = listen.rpartition(":")
     until = time.monotonic() + READY_WITHIN
--- a/bench/capacity/rows.py
+++ b/bench/capacity/rows.py
@@ -3,19 +3,20 @@
 from collections.abc import Callable
 
 import msgspec
+import orjson
 
-from bench.capacity import sweep
-from bench.capacity.fleet import DRAIN_GRACE_MS, Sizes
+from bench.capacity import process, sweep
+from bench.capacity.fleet import DRAIN_GRACE_MS, PACE, Sizes, configuration
 from granitespool.scale.budget import DAY, Budget, Day, LoweredBy, Origin, Row, Value
 
 SOCKET_LIMIT = 1024  # descriptors that the configuration of the measured points allows
-ROUTES = "plan, 3,100 routes"
+ROUTES = "plan_routes"
 TITLES = {
     "today": "today",
     "tenth": "a tenth",
     "service": "one service of 49",
     "plan": "plan, 3 classes",
-    ROUTES: ROUTES,
+    ROUTES: "plan, 3,100 routes",
 }
 PLAN_SCALES = ("plan", ROUTES)
 BUDGET = Budget()
@@ -23,7 +24,7 @@
 ROUTE_DRIVEN = frozenset(  # costs that are worked out for 3,100 routes; all others are as without them
     sweep.FITTED
 )
-UNKNOWN_AT_ROUTES = ("rack_", "zone_", "heal_")  # costs of events, which the sweep of classes leaves out
+UNKNOWN_AT_ROUTES = ("rack_", "zone_", "heal_", "process_")  # costs that the sweep of classes leaves out
 
 Costs = dict[str, float]
 Formula = Callable[[Costs, Sizes], float]
@@ -43,14 +44,20 @@
     for name, point in result.scales.items():
         costs = dict(point.costs)
         if name in result.processes:
-            found = msgspec.structs.asdict(result.processes[name])
-            costs |= {f"process_{key}": float(value) for key, value in found.items()}
+            costs |= _process_costs(result.processes[name])
         scales[name] = Scale(point.sizes, costs, False)
     if "plan" in scales and result.plan_classes:
         scales[ROUTES] = _with_routes(scales["plan"], result.plan_classes)
+        if ROUTES in result.processes:
+            scales[ROUTES].costs.update(_process_costs(result.processes[ROUTES]))
     return scales
 
 
+def _process_costs(found: process.Measured) -> Costs:
+    values = msgspec.structs.asdict(found)
+    return {f"process_{key}": float(value) for key, value in values.items() if value is not None}
+
+
 def _with_routes(plan: Scale, classes: sweep.Swept) -> Scale:
     sizes = msgspec.structs.replace(plan.sizes, classes=sweep.ROUTES)
     slopes = {slope.cost: slope for slope in classes.slopes}
@@ -90,12 +97,13 @@
     ) -> None:
         """One row; a scale that lacks a cost of the formula has no value."""
         values = {}
+        whole_process = "process_" in source
         for name, scale in self.scales.items():
             try:
                 amount = formula(scale.costs, scale.sizes)
             except KeyError:
                 amount = None
-            worked_out = scale.worked_out and origin is Origin.MEASURED
+            worked_out = scale.worked_out and origin is Origin.MEASURED and not whole_process
             values[name] = Value(amount, Origin.WORKED_OUT if worked_out else origin)
         self.rows.append(
             Row(
@@ -153,8 +161,8 @@
         "processor, the whole idle process without proxies",
         "ms",
         lambda c, s: c["process_idle_ms"],
-        "measured: `granitespool serve`",
-        "net/service.py",
+        "measured: `process_idle_ms`",
+        "net/service.py; facade.py `level`",
         limit,
         program,
     )
@@ -171,9 +179,19 @@
         "from the start to the first pong",
         "s",
         lambda c, s: c["process_ready_s"],
-        "measured: `granitespool serve`, three classes at the plan",
+        "measured: `process_ready_s`",
         "cli/serve.py, net/service.py",
     )
+    maker.add(
+        "coordinator",
+        "a ping answered 1.5 s after the start (20: not within 20 s)",
+        "s",
+        lambda c, s: c["process_answer_s"],
+        "measured: `process_answer_s`",
+        "net/loop.py; rules.py `_levels`, facade.py `level`",
+        BUDGET.in_force_s,
+        program,
+    )
 
 
 def _memory_and_descriptors(maker: Maker) -> None:
@@ -193,7 +211,7 @@
         "memory, the whole idle process without proxies",
         "MB",
         lambda c, s: c["process_resident_mb"],
-        "measured: `granitespool serve`, three classes at the plan",
+        "measured: `process_resident_mb`",
         "net/service.py, rules.py",
         BUDGET.memory_mb,
         program,
@@ -314,6 +332,17 @@
         program,
         Origin.WORKED_OUT,
     )
+    maker.add(
+        "coordinator",
+        "bytes in a second: the same without tenants in the file",
+        "B",
+        lambda c, s: ORDINARY_DAY.configurations * (c["file_bytes"] - _tenants_bytes(s)) / DAY,
+        "worked out: `file_bytes` less the tenants' bytes, times 380 a day",
+        "missing (changes of a configuration); net/config.py reads it whole",
+        BUDGET.bytes_per_s,
+        program,
+        Origin.WORKED_OUT,
+    )
     maker.add(
         "coordinator",
         "bytes a second: one whole configuration within 4 s",
@@ -340,7 +369,7 @@
         "from SIGHUP to a configuration in force",
         "s",
         lambda c, s: c["process_reload_s"],
-        "measured: `granitespool serve`, three classes at the plan",
+        "measured: `process_reload_s`",
         "net/service.py `_new_config`",
         BUDGET.in_force_s,
         program,
@@ -358,6 +387,10 @@
     )
 
 
+def _tenants_bytes(sizes: Sizes) -> int:
+    return len(orjson.dumps(configuration(sizes)["tenants"]))
+
+
 def _bound_s(costs: Costs) -> float:
     """Until the last of all proxies has its table: the channel's time and the processor's."""
     return costs["join_s"] + costs["join_ms"] / 1000
@@ -392,7 +425,7 @@
         "coordinator",
         "all proxies join at once: seconds of the channel for one level a class and proxy",
         "s",
-        lambda c, s: s.classes * s.proxies / 4000,
+        lambda c, s: s.classes * s.proxies / PACE,
         "worked out: classes times proxies at 4,000 lines a second",
         "missing (levels by groups of like classes)",
         DRAIN_GRACE_MS / 1000,
--- a/bench/capacity/sweep.py
+++ b/bench/capacity/sweep.py
@@ -40,7 +40,7 @@
     "backends": (450, 600, 900, 1200, 2000),
     "zones": (2, 4, 8, 12, 20),
     "proxies": (50, 70, 90, 110, 150),
-    "classes": (20, 40, 80, 160, 300),
+    "classes": (40, 70, 110, 160, 300),
     "tenants": (10, 1000, 5000, 15000, 33000),
     "heard_share": (0.1, 0.2, 0.4, 0.6, 0.8),
     "planners": (5, 25, 50, 150, 680),
@@ -51,7 +51,7 @@
 PLAN = Sizes(backends=2900, zones=20, proxies=70, classes=3, tenants=33000, requests=47000.0, planners=680)
 SCALES = {"today": TODAY, "tenth": TENTH, "service": SERVICE, "plan": PLAN}
 ROUTES = 3100  # of the plan, where each is a class of the settings
-PLAN_CLASSES = (20, 40, 80, 140, 240)  # classes swept at the plan's other sizes; the last is held out
+PLAN_CLASSES = (30, 60, 100, 160, 260)  # swept at the plan's other sizes, above the most subsets
 STATE_POINTS = ((100, 3), (200, 4), (400, 4), (400, 8), (600, 10))  # backends x zones; the last is held out
 STATE_SECONDS = 10  # virtual seconds of each
 CHILD = "import sys; sys.path.insert(0, {text!r}); import granitespool; sys.path.pop(0)\n" + (
@@ -173,8 +173,8 @@
 
 
 def worked_out(slope: Slope, sizes: Sizes) -> float | None:
-    """What a slope says for other values of its size, or None where its form was refused."""
-    if slope.refused:
+    """What a slope says for other values of its size; None where it was refused or is off."""
+    if slope.refused or slope.is_off:
         return None
     forms = {form.name: form for form in fits.forms_of((slope.size,))}
     fitted = fits.Fit(forms[slope.form], slope.coefficients, slope.residual)
--- a/granitespool/scale/fits.py
+++ b/granitespool/scale/fits.py
@@ -2,8 +2,8 @@
 
 The form of a fit (constant, proportional, linear, product of two sizes) is chosen by its residual and not
 assumed: a further term, or a further size of a term, must lower the residual by more than
-`PARAMETER_PENALTY`. All residuals are relative to the measured cost, so that the small points of a sweep count
-as much as the large ones.
+`PARAMETER_PENALTY`. All residuals are relative to the measured cost, so that the small points of a sweep
+count as much as the large ones.
 """
 
 import math
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from bench.capacity import page, rows, sweep
+from bench.capacity import page, process, rows, sweep
 from bench.capacity.__main__ import main
 from bench.capacity.fleet import Sizes
 from bench.capacity.point import Request, measure
@@ -234,3 +234,24 @@
     assert worked_out["entry_row_bytes"] == 170
     assert "idle_ms" not in worked_out
     assert "rack_second_ms" not in worked_out
+
+
+def test_a_process_answers_takes_a_new_file_and_ends(monkeypatch):
+    monkeypatch.setattr(process, "SETTLE", 0.1)
+    monkeypatch.setattr(process, "IDLE", 0.2)
+    found = process.measure(TINY)
+    assert found.answer_s < process.ANSWER_WITHIN
+    assert found.reload_s < budget.Budget().in_force_s
+    assert found.descriptors >= 4  # standard streams, the loop, the listener
+    assert found.log_lines >= 3  # serving, reloaded, stopped
+    assert found.start_ms > 0
+
+
+def test_before_and_after_tells_both_figures_and_their_ratio():
+    before, after = (
+        {"plan": sweep.Point(sweep.PLAN, {"idle_ms": idle, "idle_calls": 50.0})} for idle in (300.0, 30.0)
+    )
+    table = page._compared(before, after)
+    assert "| idle_ms | 300 to 30 (0.10) |" in table
+    assert "| idle_calls | 50 to 50 (1.00) |" in table
+    assert "| join_ms | - |" in table
