--- a/bench/capacity/sweep.py
+++ b/bench/capacity/sweep.py
@@ -48,8 +48,18 @@
 TODAY = Sizes(backends=100, zones=3, proxies=80, classes=3, tenants=10, requests=300.0, planners=5)
 TENTH = Sizes(backends=290, zones=2, proxies=70, classes=310, tenants=3300, requests=4700.0, planners=68)
 SERVICE = Sizes(backends=59, zones=20, proxies=70, classes=63, tenants=673, requests=959.0, planners=14)
+SERVICE_ROUTES = Sizes(
+    backends=59, zones=20, proxies=70, classes=3100, tenants=673, requests=959.0, planners=14
+)
 PLAN = Sizes(backends=2900, zones=20, proxies=70, classes=3, tenants=33000, requests=47000.0, planners=680)
-SCALES = {"today": TODAY, "tenth": TENTH, "service": SERVICE, "plan": PLAN}
+SCALES = {
+    "today": TODAY,
+    "tenth": TENTH,
+    "service": SERVICE,
+    "service_routes": SERVICE_ROUTES,
+    "plan": PLAN,
+}
+ONCE = frozenset(("service_routes",))  # scales that are measured without repeats: half a minute each time
 ROUTES = 3100  # of the plan, where each is a class of the settings
 PLAN_CLASSES = (30, 60, 100, 160, 260)  # swept at the plan's other sizes, above the most subsets
 STATE_POINTS = ((100, 3), (200, 4), (400, 4), (400, 8), (600, 10))  # backends x zones; the last is held out
