--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -11,7 +11,7 @@
 import docopt
 import msgspec
 
-from bench.capacity import page, process, rows, sweep
+from bench.capacity import page, process, scales, sweep
 from bench.capacity.fleet import Sizes
 from bench.capacity.point import Request
 
@@ -93,7 +93,7 @@
     if "plan" in result.scales:
         tell("plan, 3,100 routes, process")
         routes = msgspec.structs.replace(sweep.PLAN, classes=sweep.ROUTES)
-        result.processes[rows.ROUTES] = process.measure(routes)
+        result.processes[scales.ROUTES] = process.measure(routes)
         result.plan_classes = _plan_classes(result, tell)
         tell("state folder")
         result.state_points, result.state_slope = sweep.state_points()
--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -2,16 +2,16 @@
 
 import math
 import re
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 import msgspec
 import orjson
 
 from bench.capacity import rows, sweep
-from bench.capacity.fleet import RACK, Sizes
-from bench.capacity.rows import TITLES, Scale
+from bench.capacity.messages import KINDS, STALE
+from bench.capacity.scales import PLAN_SCALES, ROUTES, TITLES, Scale, scales_of
 from granitespool.scale import fits
-from granitespool.scale.budget import DAY, Day, LoweredBy, Origin, Row, Value, by_factor
+from granitespool.scale.budget import DAY, LoweredBy, Origin, Row, Value, by_factor
 
 BEGIN = "<!-- capacity: {name} -->"
 END = "<!-- end of {name} -->"
@@ -19,6 +19,7 @@
 STORED_DIGITS = 4  # significant digits of a figure in the JSON
 MARKS = {Origin.MEASURED: "m", Origin.WORKED_OUT: "w", Origin.TOLD: "t"}
 CONSTANT = "constant"
+FIRST_SCALES = ("plan", ROUTES, "service", "service_routes")
 COMPARED = (
     "idle_ms",
     "idle_calls",
@@ -32,165 +33,12 @@
     "memory_mb",
     "named_together",
 )
-ORDINARY_DAY = Day()
-PING_BYTES = 100  # bytes of a probe's request, as the program writes it, or of a ping; rounded up
-EMPTY_LINES_PER_S = 0.5  # the protocol's
-EMPTY_LINE_BYTES = 6  # a chunk that holds a newline
-JOINED_BYTES = 90  # bytes of a joining's frame; rounded up
 
 
 class MarkerMissing(Exception):
     """The page has no place for a table; the text names the marker."""
 
 
-class Kind(msgspec.Struct, frozen=True):
-    """One kind of message: its size, and how many come in a mean and in the worst second."""
-
-    name: str
-    sender: str
-    receiver: str
-    size: Callable[[rows.Costs, Sizes], float]  # bytes
-    mean: Callable[[rows.Costs, Sizes], float]  # a second
-    worst: Callable[[rows.Costs, Sizes], float]  # in the worst second
-
-
-def _heard(costs: rows.Costs, sizes: Sizes) -> float:
-    return max(1.0, costs["busy_reports"] - sizes.proxies)
-
-
-def _day_entries(sizes: Sizes) -> float:
-    return ORDINARY_DAY.list_entries * sizes.backends / sweep.PLAN.backends
-
-
-KINDS = (
-    Kind(
-        "`heard`",
-        "collector",
-        "coordinator",
-        lambda c, s: c["heard_in_bytes"] / _heard(c, s),
-        _heard,
-        lambda c, s: s.links,
-    ),
-    Kind(
-        "`usage`",
-        "proxy or collector",
-        "coordinator",
-        lambda c, s: (c["busy_in_bytes"] - c["heard_in_bytes"]) / s.proxies,
-        lambda c, s: s.proxies,
-        lambda c, s: min(s.proxies * s.classes, max(s.proxies, s.requests / s.planners)),
-    ),
-    Kind(
-        "`applied`",
-        "proxy",
-        "coordinator",
-        lambda c, s: c["applied_bytes"],
-        lambda c, s: c["busy_messages"],
-        lambda c, s: s.proxies,
-    ),
-    Kind(
-        "`joined`",
-        "proxy",
-        "coordinator",
-        lambda c, s: JOINED_BYTES,
-        lambda c, s: 0,
-        lambda c, s: s.proxies,
-    ),
-    Kind(
-        "`update`, ordinary",
-        "coordinator",
-        "proxy",
-        lambda c, s: c["busy_out_bytes"] / max(1.0, c["busy_messages"]),
-        lambda c, s: c["busy_messages"],
-        lambda c, s: s.proxies,
-    ),
-    Kind(
-        "`update`, a joiner's table",
-        "coordinator",
-        "proxy",
-        lambda c, s: c["join_bytes"] / s.proxies,
-        lambda c, s: 0,
-        lambda c, s: c["join_bound_first_turn"],
-    ),
-    Kind(
-        "change of the list",
-        "discovery's agent",
-        "coordinator",
-        lambda c, s: c["entry_row_bytes"],
-        lambda c, s: _day_entries(s) / DAY,
-        lambda c, s: s.backends / s.zones,
-    ),
-    Kind(
-        "empty line of the watch",
-        "discovery's agent",
-        "coordinator",
-        lambda c, s: EMPTY_LINE_BYTES,
-        lambda c, s: EMPTY_LINES_PER_S,
-        lambda c, s: 1,
-    ),
-    Kind(
-        "whole list",
-        "discovery's agent",
-        "coordinator",
-        lambda c, s: c["list_bytes"],
-        lambda c, s: 0,
-        lambda c, s: 1,
-    ),
-    Kind(
-        "probe",
-        "coordinator",
-        "backend",
-        lambda c, s: PING_BYTES,
-        lambda c, s: ORDINARY_DAY.replaced * s.backends / sweep.PLAN.backends / DAY,
-        lambda c, s: min(64, s.backends),
-    ),
-    Kind(
-        "configuration",
-        "control machine",
-        "coordinator",
-        lambda c, s: c["file_bytes"],
-        lambda c, s: ORDINARY_DAY.configurations / DAY,
-        lambda c, s: 1,
-    ),
-    Kind("datagram", "coordinator", "coordinator", lambda c, s: 0, lambda c, s: 0, lambda c, s: 0),
-)
-
-
-class Stale(msgspec.Struct, frozen=True):
-    """Something that leaves tables stale until the last proxy has its orders."""
-
-    name: str
-    share: Callable[[Sizes], float]  # of requests that go to what has left
-    seconds: str  # the cost that tells the channel's time
-    turn: str  # the cost that tells the processor's time, in ms
-    a_day: float  # at the plan's fleet
-
-
-STALE = (
-    Stale(
-        "a backend fails",
-        lambda s: 1 / s.backends,
-        "entry_s",
-        "entry_ms",
-        ORDINARY_DAY.failed,
-    ),
-    Stale(
-        "a backend is replaced",
-        lambda s: 1 / s.backends,
-        "entry_s",
-        "entry_ms",
-        ORDINARY_DAY.replaced,
-    ),
-    Stale(
-        "a rack is gone, once in 45 days",
-        lambda s: min(RACK, s.backends // 4) / s.backends,
-        "rack_s",
-        "rack_turn_ms",
-        1 / 45,
-    ),
-    Stale("a zone is gone, once in 60 days", lambda s: 1 / s.zones, "zone_s", "zone_turn_ms", 1 / 60),
-)
-
-
 def stored(result: sweep.Result) -> str:
     """The result as JSON with a line for each member, so that the file stays small and differences show."""
     members = []
@@ -233,9 +81,9 @@
         found = rows.rows_of(result)
         made["sizes"] = _sizes(result)
         made["first"] = _first(found)
-        made["rows"] = _rows(found, list(rows.scales_of(result)))
-        made["messages"] = _messages(rows.scales_of(result))
-        made["added"] = _added(rows.scales_of(result))
+        made["rows"] = _rows(found, list(scales_of(result)))
+        made["messages"] = _messages(scales_of(result))
+        made["added"] = _added(scales_of(result))
     made["slopes"] = _slopes(result)
     made["held out"] = _held_out(result)
     compared = before.scales if before else result.before
@@ -289,7 +137,7 @@
 def _sizes(result: sweep.Result) -> str:
     names = ("backends", "zones", "proxies", "classes", "tenants", "requests", "planners")
     body = []
-    for name, scale in rows.scales_of(result).items():
+    for name, scale in scales_of(result).items():
         sizes = scale.sizes
         body.append(
             [
@@ -344,7 +192,7 @@
         "module",
     ]
     body = []
-    for row in by_factor(found, rows.PLAN_SCALES):
+    for row in by_factor(found, PLAN_SCALES):
         body.append(
             [
                 row.role,
@@ -352,7 +200,7 @@
                 *(_marked(row.values.get(name)) for name in names),
                 row.unit,
                 "" if row.limit is None else figure(row.limit),
-                _factor(row.worst(rows.PLAN_SCALES)),
+                _factor(row.worst(PLAN_SCALES)),
                 _factor(row.factor("service")),
                 row.lowered_by.value,
                 row.source,
@@ -366,20 +214,18 @@
     """The rows over their limit that this program can lower, the largest factor first."""
     over = [
         row
-        for row in by_factor(found, rows.PLAN_SCALES)
-        if row.lowered_by is LoweredBy.PROGRAM and (row.worst(rows.PLAN_SCALES) or 0) > 1
+        for row in by_factor(found, PLAN_SCALES)
+        if row.lowered_by is LoweredBy.PROGRAM and (row.worst(PLAN_SCALES) or 0) > 1
     ]
     body = [
         [
             row.cost,
-            _factor(row.factor("plan")),
-            _factor(row.factor(rows.ROUTES)),
-            _factor(row.factor("service")),
+            *(_factor(row.factor(name)) for name in FIRST_SCALES),
             row.module,
         ]
         for row in over
     ]
-    head = ["over its limit", *(TITLES[name] for name in ("plan", rows.ROUTES, "service")), "module"]
+    head = ["over its limit", *(TITLES[name] for name in FIRST_SCALES), "module"]
     return _table(head, body)
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from bench.capacity import page, process, rows, sweep
+from bench.capacity import page, process, scales, sweep
 from bench.capacity.__main__ import main
 from bench.capacity.fleet import Sizes
 from bench.capacity.point import Request, measure
@@ -220,7 +220,7 @@
         "rack_second_ms": 7.0,
         "entry_row_bytes": 170,
     }
-    plan = rows.Scale(sweep.PLAN, costs, False)
+    plan = scales.Scale(sweep.PLAN, costs, False)
     points = [
         sweep.Point(
             sweep.with_size(sweep.PLAN, "classes", classes),
@@ -228,7 +228,7 @@
         )
         for classes, wild in zip((30, 60, 100, 200, 300), (1.0, 90.0, 2.0, 80.0, 3.0))
     ]
-    worked_out = rows._with_routes(plan, sweep.sweep("classes", points)).costs
+    worked_out = scales._with_routes(plan, sweep.sweep("classes", points)).costs
     assert worked_out["join_ms"] == pytest.approx(3100.0)
     assert worked_out["resident_mb"] == pytest.approx(30.0 - 5.0 + 3100.0)
     assert worked_out["entry_row_bytes"] == 170
