--- a/granitespool/scale/budget.py
+++ b/granitespool/scale/budget.py
@@ -51,7 +51,6 @@
 
     PROGRAM = "this program"
     PROTOCOL = "only the protocol"
-    PLATFORM = "the platform's operator"
     NOBODY = "-"
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,6 +1,7 @@
 """The capacity command: fits recover known slopes, refuse a wrong form and name a prediction that is off."""
 
 import json
+from pathlib import Path
 from random import Random
 
 import pytest
@@ -94,6 +95,7 @@
 
 
 TINY = Sizes(backends=12, zones=2, proxies=4, classes=2, tenants=2, requests=40.0, planners=2)
+DOCS = Path(__file__).parent.parent / "docs"
 COUNTED = (
     "idle_calls",
     "entry_calls",
@@ -255,3 +257,40 @@
     assert "| idle_ms | 300 to 30 (0.10) |" in table
     assert "| idle_calls | 50 to 50 (1.00) |" in table
     assert "| join_ms | - |" in table
+
+
+def test_every_table_of_the_page_comes_from_the_stored_figures(tmp_path):
+    copy = tmp_path / "CAPACITY.md"
+    copy.write_text((DOCS / "CAPACITY.md").read_text())
+    words = [f"--from={DOCS}/capacity.json", f"--before={DOCS}/capacity-before.json", f"--page={copy}"]
+    assert main(words) == 0
+    assert copy.read_text() == (DOCS / "CAPACITY.md").read_text()
+
+
+def test_tables_of_a_run_hold_each_scale_its_factor_and_what_was_not_measured():
+    costs = measure(Request(sizes=TINY, seed=1, events=True))
+    without_events = {name: value for name, value in costs.items() if not name.startswith("zone_back")}
+    idle = budget.Budget().processor_ms_per_s * 3
+    result = sweep.Result(
+        seed=1,
+        repeats=1,
+        scales={
+            "today": sweep.Point(TINY, costs),
+            "plan": sweep.Point(TINY, without_events | {"idle_ms": idle}),
+        },
+    )
+    made = page.tables(result, None)
+    assert set(made) == {"sizes", "first", "rows", "messages", "added", "slopes", "held out"}
+    cells = [[cell.strip() for cell in line.split("|")[1:-1]] for line in made["rows"].splitlines()]
+    column = {name: at for at, name in enumerate(cells[0])}
+    by_cost = {line[column["cost"]]: line for line in cells[2:]}
+    row_of_idle = by_cost["processor, an idle second"]
+    assert row_of_idle[column["plan, 3 classes"]] == "87 m"
+    assert row_of_idle[column["factor"]] == "3"
+    cold_zone = by_cost["a zone is back, cold: processor in its second"]
+    assert cold_zone[column["plan, 3 classes"]] == "-"
+    assert cold_zone[column["today"]].endswith(" m")
+    not_run = by_cost["from SIGHUP to a configuration in force"]  # no process was measured
+    assert not_run[column["plan, 3 classes"]] == "-"
+    factors = [float(line[column["factor"]].replace(",", "")) for line in cells[2:] if line[column["factor"]]]
+    assert factors == sorted(factors, reverse=True)
