--- a/granitespool/settings.py
+++ b/granitespool/settings.py
@@ -3,6 +3,7 @@
 The simulator's wire and the sockets name a list entry's fields differently; each way has its names here, and
 no wire name is seen further in. No decision is taken in this file."""
 
+from collections import Counter
 from math import isfinite
 from types import NoneType
 
@@ -170,7 +171,7 @@
         # What proxies and orders name: any text, but a name, and one that means one thing
         if odd := [name for name in names if not isinstance(name, str)]:
             raise BadInput(f"the settings name a {what} {odd[0]!r:.40}, which is no text")
-        if twice := sorted({name for name in names if names.count(name) > 1}):
+        if twice := sorted(name for name, times in Counter(names).items() if times > 1):
             raise BadInput(f"the settings name the {what} {twice[0]!r:.40} twice")
     result["subscribe"] = wire.get("membership_mode") == "subscribe"
     return result
