--- a/granitespool/routing/costs.py
+++ b/granitespool/routing/costs.py
@@ -30,6 +30,11 @@
         self._own: list[Link] = []  # links with a cost of their own until the next look
         self._new: list[Backend] = []  # records whose links began after the last look
 
+    @property
+    def known(self) -> bool:
+        """Whether any cost is known: until then what has just begun is like all others."""
+        return any(average is not None for average in self.average.values())
+
     def began(self, backend: Backend) -> None:
         """A backend's links begin anew."""
         backend.links.clear()
--- a/granitespool/routing/worklist.py
+++ b/granitespool/routing/worklist.py
@@ -144,8 +144,8 @@
     def settle(self, is_warm: Callable[[Backend], bool], ramp_over: Callable[[int | None], bool]) -> None:
         """Puts what follows from shared means alone from here on at rest.
 
-        `is_warm` tells whether a backend can do its whole work, `ramp_over` whether a ramp that began then
-        (ns; None: none) takes nothing from a weight any more.
+        `is_warm` tells whether a backend can do its whole work and costs what its kind does, `ramp_over`
+        whether a ramp that began then (ns; None: none) takes nothing from a weight any more.
         """
         for backend in list(self.unsettled):
             left_over = self._subsets.left_over(backend)
@@ -176,7 +176,6 @@
             backend.phase == "ready"
             and backend.proven
             and backend.subset is not None
-            and backend.costed
             and backend.sent.get("out", False) is False
             and ramp_over(backend.ramp_from)
             and is_warm(backend)
--- a/granitespool/rules.py
+++ b/granitespool/rules.py
@@ -466,7 +466,7 @@
             self.work.sent(rec, table, want)
         if not only:
             self.work.settle(
-                lambda rec: self.warm(now, rec) >= 1,
+                lambda rec, known=self.costs.known: (rec.costed or not known) and self.warm(now, rec) >= 1,
                 lambda since: since is None or self._ramp(now, since) >= 1,
             )
             self._shut_out(now)
