--- a/granitespool/routing/subsets.py
+++ b/granitespool/routing/subsets.py
@@ -11,6 +11,8 @@
 
 from collections import Counter
 
+from granitespool.routing.levels import lines_of
+
 SECOND = 1_000_000_000  # ns
 OUTDATED = 12 * SECOND  # ns that what was heard counts for in the planner's means (its KEEP): a table that
 #                         arrives later is made of what is forgotten
@@ -20,10 +22,6 @@
 RESPLIT = 3  # factor that the fleet's size must have moved by for all to be split anew: a zone lost must
 #                  not do it, nor a release whose old half has gone before the new one answers
 UNEVEN = 2  # times the smallest subset's size, and one more, that the largest may have: else one moves
-LEVELS = (
-    4  # lines that order what is let in of all classes at most, whatever their number: those let in whole,
-)
-#             as good as whole, the one in part, those at the floor
 USERS_PART = 0.5  # part of the queue that one line to all users of a table may take
 
 
@@ -119,7 +117,7 @@
         if not grace or not expected or not settings.get("lines_per_s") or settings.get("slices"):
             return 1
         share = -(-expected // max(1, settings.get("planners") or 1))
-        fixed = channel.head + 1 + min(LEVELS, len(settings.get("classes") or ()))
+        fixed = channel.head + 1 + lines_of(len(settings.get("classes") or ()))
         if (fleet + fixed) * share * SECOND <= min(OUTDATED, grace) * channel.pace:
             return 1  # the design's own tables: nothing is departed from
         takers = min(expected, TAKES * share)
