--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,32 +11,50 @@
 import standins  # noqa: E402
 from standins import TROUBLE, World  # noqa: E402
 
-ZONES = ["brisbane", "toowoomba", "gold-coast"]
-BACKENDS = 72
-PROXIES = 9
-RATE = 16.0  # requests a second at a proxy: about 150 in all
+ZONES = ["garbutt", "aitkenvale"]
+BACKENDS = 110
+PROXIES = 12
+RATE = 12.0  # requests a second at a proxy
+LINES_PER_S = 5600.0  # the pages have 5600 to 7600
 GRACE = 1.5  # s; the pages have 1.5 s or more
-BATCH = 13  # 18 in 100 of the backends leave at a time; the pages have up to 19
-BATCHES = 5  # 90 in 100 of the fleet in all; the pages have up to 95
-STEP = 0.05  # s between two changes of the list
-DRAIN_TIME = 6.0  # s from a batch's drain to its end; the pages have 2 to 6
+BATCH = 20  # 18 in 100 of the backends leave at a time; the pages have up to 19
+BATCHES = 5  # 91 in 100 of the fleet in all; the pages have up to 95
+STEP = 0.03  # s between two changes of the list
+DRAIN_TIME = 5.9  # s from the drain of a backend to its end; the pages have 2.5 to 5.9
 DOWN_TIME = 1.0  # s that the killed coordinator is away; the pages have 1 to 8
 SETTLE = 5.0  # s before the first batch
-PAUSE = 2.0  # s between two batches
+PAUSE = 0.5  # s between two batches: the deploy takes some 35 s, the pages have 25 to 37
 
 
 async def play(world: World) -> bool:
     """Play the case; return whether the rule was broken."""
     record, discovery = world.record, world.discovery
+    world.envelope, world.default_retry = 6.0, 1
+    world.transit, world.redial = (0.13, 0.34), (0.91, 2.2)
     fleet = [
-        await world.add_backend(f"s-{number:03}", ZONES[number % 3])
+        await world.add_backend(f"s-{number:03}", ZONES[number % 2])
         for number in range(BACKENDS + BATCH * BATCHES)
     ]
     for backend in fleet[:BACKENDS]:
         discovery.list_backend(backend)
-    settings = standins.settings(world, ZONES, PROXIES, rules={"stop_sending_within_us": int(GRACE * 1e6)})
+    settings = standins.settings(
+        world,
+        ZONES,
+        PROXIES,
+        family_info={"egress_per_s": LINES_PER_S, "most_waiting": 2 * LINES_PER_S, "messages_most": 0},
+        rules={"stop_sending_within_us": int(GRACE * 1e6), "cold_us": 16_000_000, "fall_us": 2_000_000},
+    )
+    settings["classes"][0].update(aim_us=2_000_000)
+    settings["classes"][1].update(
+        semantics="guarded",
+        key_scope="cell",
+        window_us=1_500_000,
+        aim_us=750_000,
+        give_up_us=2_500_000,
+        worth=6.0,
+    )
     config = {"known": discovery.snapshot(), "settings": settings}
-    coordinator = standins.Coordinator(record, world.folder, "n1", discovery, config, rate=900.0)
+    coordinator = standins.Coordinator(record, world.folder, "n1", discovery, config, rate=LINES_PER_S)
     world.coordinators.append(coordinator)
     operator = world.folder / "operator.ini"
     operator.write_text(f"[state]\nfolder = {world.folder / 'state'}\n")
@@ -45,7 +63,7 @@
     for zone in ZONES:
         world.add_collector(coordinator, zone)
     for number in range(PROXIES):
-        world.add_proxy(number, ZONES[number % 3], [coordinator], RATE, bootstrap=5)
+        world.add_proxy(number, ZONES[number % 2], [coordinator], RATE, bootstrap=5)
     check = standins.DrainCheck(world, GRACE)
     await asyncio.sleep(SETTLE)
     for batch in range(BATCHES):
@@ -68,6 +86,7 @@
         for backend in leaving:
             backend.stop()
             discovery.list_backend(backend, "gone")
+            await asyncio.sleep(STEP)
         record.say(f"they are gone; {len(check.late) - late_before} requests were sent too late")
         await asyncio.sleep(PAUSE)
     for line in check.late[:5]:
@@ -76,4 +95,4 @@
     return bool(check.late)
 
 
-standins.main(FOLDER, {"status": 0.55, "config": 0.3, "purchase": 0.15}, play)
+standins.main(FOLDER, {"balance-check": 0.83, "redemption": 0.17}, play)
