--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """A coordinator with a state folder is killed during a rolling deploy, and trusts a record that is stale."""
 
 import asyncio
+import random
 import signal
 import sys
 from pathlib import Path
@@ -19,7 +20,8 @@
 GRACE = 1.5  # s; the pages have 1.5 s or more
 BATCH = 20  # 18 in 100 of the backends leave at a time; the pages have up to 19
 BATCHES = 5  # 91 in 100 of the fleet in all; the pages have up to 95
-STEP = 0.03  # s between two changes of the list
+STEP = 0.05  # s between two changes of the list: a batch is listed within 1 s
+KILL_AFTER = (0.5, 1.0)  # s from a batch's first drain to the kill, drawn: it may come at any time
 DRAIN_TIME = 5.8  # s from the drain of a backend to its end; the pages have 2.5 to 5.9
 DOWN_TIME = 1.0  # s that the killed coordinator is away; the pages have 1 to 8
 SETTLE = 5.0  # s before the first batch
@@ -72,13 +74,14 @@
         coming = fleet[BACKENDS + batch * BATCH : BACKENDS + (batch + 1) * BATCH]
         record.say(f"batch {batch + 1}: {leaving[0].name} to {leaving[-1].name} drain")
         began = record.now()
-        for backend in leaving:
-            discovery.list_backend(backend, "draining")
-            await asyncio.sleep(STEP)
+        world.spawn(drain(world, leaving))
         if TROUBLE:
+            await asyncio.sleep(random.uniform(*KILL_AFTER))
             coordinator.send_signal(signal.SIGKILL)
             await asyncio.sleep(DOWN_TIME)
             await coordinator.start()
+        else:
+            await asyncio.sleep(BATCH * STEP)
         for backend in coming:
             backend.since_ms = int(1000 * (record.began + record.now()))
             discovery.list_backend(backend)
@@ -95,4 +98,11 @@
     return bool(check.late)
 
 
+async def drain(world: World, leaving: list[standins.Backend]) -> None:
+    """List backends as draining, one after another."""
+    for backend in leaving:
+        world.discovery.list_backend(backend, "draining")
+        await asyncio.sleep(STEP)
+
+
 standins.main(FOLDER, {"balance-check": 0.83, "redemption": 0.17}, play)
