Metrics have the age of the oldest message in flight

Cause: with `in_flight` and `acknowledgement_ms` alone a log does not tell a slow channel from proxies that acknowledge nothing: both fill the account, and the latency is that of the last proxy that did acknowledge.

Logs without the field are still read.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -71,6 +71,7 @@
     queue_share: float  # highest share of the in-flight limit
     observed_share: float  # lowest share of the configured rate
     acknowledgement_s: float
+    oldest_in_flight_s: float  # highest age of an unacknowledged message
     new_entries: float
     new_reports: int
     admitted_share: float
@@ -90,6 +91,7 @@
     ("rate", "observed_share", "4.2f"),
     ("entries", "new_entries", "7.0f"),
     ("ack_s", "acknowledgement_s", "6.2f"),
+    ("oldest_s", "oldest_in_flight_s", "8.2f"),
     ("reports", "new_reports", "7d"),
     ("admitted", "admitted_share", "8.2f"),
     ("success", "success_ratio", "7.2f"),
@@ -146,6 +148,8 @@
         queue_share=max(event["in_flight"] / event["in_flight_limit"] for event in metrics),
         observed_share=min(event["observed_rate"] / event["configured_rate"] for event in metrics),
         acknowledgement_s=max(event["acknowledgement_ms"] for event in metrics) / 1000,
+        # Logs of releases before the field was added do not contain it
+        oldest_in_flight_s=max(event.get("oldest_in_flight_ms", 0) for event in metrics) / 1000,
         new_entries=sum(row.new_entries for row in rows_with_metrics),
         new_reports=sum(row.new_reports for row in rows_with_metrics),
         admitted_share=min(event["admitted_share"] for event in metrics),
--- a/granitespool/coordinator.py
+++ b/granitespool/coordinator.py
@@ -224,7 +224,7 @@
 
     def metrics(self) -> CoordinatorMetrics:
         """Return the metrics that can be summed over coordinators."""
-        return CoordinatorMetrics(self.planner.inspection.metrics(), self.load_reports)
+        return CoordinatorMetrics(self.planner.inspection.metrics(self.now), self.load_reports)
 
     def outliers(self, limit: int) -> Outliers:
         """Return at most `limit` backends whose weight is not an ordinary one."""
--- a/granitespool/net/metrics.py
+++ b/granitespool/net/metrics.py
@@ -50,6 +50,7 @@
             unassigned=metrics.unassigned,
             in_flight=round(metrics.in_flight, SHARE_DIGITS),
             in_flight_limit=round(metrics.in_flight_limit, SHARE_DIGITS),
+            oldest_in_flight_ms=metrics.oldest_in_flight_age // MILLISECOND,
             configured_rate=round(metrics.configured_rate, SHARE_DIGITS),
             observed_rate=round(metrics.observed_rate, SHARE_DIGITS),
             total_entries=round(metrics.total_entries, SHARE_DIGITS),
--- a/granitespool/planner/in_flight.py
+++ b/granitespool/planner/in_flight.py
@@ -83,6 +83,11 @@
             return self.rate
         return self.rate * min(1.0, self._mean_expected_latency / self._mean_latency)
 
+    def oldest_age(self, now: int) -> int:
+        """Return the age (ns) of the oldest message in flight; 0 if there is none."""
+        oldest = next(iter(self._batches.values()), None)
+        return 0 if oldest is None else now - oldest.reserved_at
+
     def capacity_left(self, share: float, within: float | None = None) -> float:
         """Return the entries that still fit into a share of the queue; negative if more are in flight.
 
--- a/granitespool/planner/inspection.py
+++ b/granitespool/planner/inspection.py
@@ -134,14 +134,15 @@
             success_ratio=self._overload.success_ratio,
         )
 
-    def metrics(self) -> PlannerMetrics:
-        """Return the metrics of the planner."""
+    def metrics(self, now: int) -> PlannerMetrics:
+        """Return the metrics of the planner at `now` (ns)."""
         links = [link for backend in self._fleet.backends.values() for link in backend.links.values()]
         return PlannerMetrics(
             joined=len(self._assignment.proxies),
             unassigned=len(self._assignment.unassigned),
             in_flight=self._account.in_flight,
             in_flight_limit=self._account.limit,
+            oldest_in_flight_age=self._account.oldest_age(now),
             configured_rate=self._account.rate,
             observed_rate=self._account.observed_rate,
             total_entries=self._account.total_entries,
--- a/granitespool/planner/status.py
+++ b/granitespool/planner/status.py
@@ -91,6 +91,7 @@
     unassigned: int
     in_flight: float  # number of table entries
     in_flight_limit: float  # number of table entries
+    oldest_in_flight_age: int  # of the oldest unacknowledged message, ns
     configured_rate: float  # entries per second
     observed_rate: float  # entries per second
     total_entries: float
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Metrics in the logs of several coordinators, and the command that combines them."""
 
+import re
 from contextlib import closing
 
 import pytest
@@ -71,6 +72,27 @@
     assert " x " in text and " y " in text and "b ejected at 1" in text
 
 
+def test_the_age_of_the_oldest_message_in_flight_grows_until_its_proxy_acknowledges():
+    with closing(ReportingService("x")) as service:
+        start(service, "abcde")
+        service.clients.join("q", 2)
+        service.clients.wait_for("q", '"ticket"')
+        service.advance_to(4500 * MILLISECOND)
+        ages = [
+            event["oldest_in_flight_ms"] for event in logged_events(service) if event["event"] == "metrics"
+        ]
+        assert ages == sorted(ages)
+        assert 2000 <= ages[-1] - ages[0] <= 4000
+        rows = fleet.rows_by_second({"x": logged_events(service)})
+        assert fleet.combine_rows(rows[max(rows)].values()).oldest_in_flight_s == ages[-1] / 1000
+        for proxy, name in ((1, "p"), (2, "q")):
+            barriers = re.findall(r'"ticket":(\d+)', service.clients.sent_to[name])
+            service.clients.send(name, messages.applied(node=proxy, nonce=int(barriers[-1]), latency=100.0))
+        service.advance_to(5500 * MILLISECOND)
+        last = [event for event in logged_events(service) if event["event"] == "metrics"][-1]
+        assert last["oldest_in_flight_ms"] < 1000
+
+
 @pytest.mark.parametrize(
     "line", [b"", b"no event", b'0.12 {"at_ms":5,"event":"met', b'{"event":"x"}', b"[1]", b"\xff\xfe{"]
 )
