Release what the channel has passed: silent proxies no longer withhold drains

Cause: planner/in_flight.py released a message only when its own proxy acknowledged it or left, or after sixteen full queues. Messages to silent proxies filled 94 % of the limit within six seconds, and no drain fitted any more.

Evidence: metrics of the case twice a second. in_flight stood at 2433 of 2700 for nine seconds and total_entries stood still, while acknowledgements took 0.15 to 0.5 s, the observed rate was the configured 900, list_index went on, and oldest_in_flight_ms grew by a second each second from the cut on. Ruled out by the same rows: a slow channel, a list that does not come, the limit on messages.

Change: the channel sends in order, so an acknowledgement by any proxy shows that it has passed all earlier batches. What they still hold leaves the account 2 s later; the rest of the acknowledged batch gets the time the channel takes for it besides. Without such an acknowledgement everything stays, as before.

The reference planner's account has the same rule.

--- a/granitespool/planner/in_flight.py
+++ b/granitespool/planner/in_flight.py
@@ -2,7 +2,12 @@
 
 Everything sent to one proxy in one turn is one message: a header with an acknowledgement barrier, and table
 entries. A message leaves the account when the proxy acknowledges its barrier or a later one, when the proxy
-leaves, or when the message is too old to be still in flight. This module decides nothing and does no I/O.
+leaves, when the channel has passed it, or when it is too old to be still in flight. This module decides
+nothing and does no I/O.
+
+The channel sends the messages in order. So an acknowledgement by any proxy proves that the channel has passed
+all earlier batches. Their other messages get `ACKNOWLEDGEMENT_TIMEOUT` to be acknowledged. A proxy that is
+silent for longer no longer takes capacity that the other proxies need.
 """
 
 from collections import Counter, deque
@@ -25,6 +30,9 @@
 # Acknowledgements that the observed rate is averaged over: about half of a coordinator's proxies, since the
 # latency of a single stalled proxy says nothing about the channel
 RATE_SAMPLES = 64
+# ns in which a message that the channel has passed is acknowledged, unless its proxy is silent. A proxy that
+# stalls may read a message this much later than others read theirs.
+ACKNOWLEDGEMENT_TIMEOUT = 2 * SECOND
 # ns for transit and application of a message, beside the time in the queue. It dominates the latencies of
 # short queues, so without it a fast channel would look slow.
 TRANSIT_TIME = SECOND // 2
@@ -40,11 +48,14 @@
 class Batch:
     """The messages of one turn, one for each proxy."""
 
-    __slots__ = ("entries", "queued", "reserved_at", "sequence")
+    __slots__ = ("entries", "number", "passed_at", "queued", "reserved_at", "sequence")
 
-    def __init__(self, sequence: int, reserved_at: int) -> None:
+    def __init__(self, number: int, sequence: int, reserved_at: int) -> None:
+        self.number = number  # of batches before it
         self.sequence = sequence  # number of its acknowledgement barrier
         self.reserved_at = reserved_at  # ns
+        # ns; when the channel has passed the whole batch, by acknowledgements, or None if none shows it
+        self.passed_at: int | None = None
         self.entries: dict[int, float] = {}  # proxy -> entries of its message, with the header
         self.queued: dict[int, float] = {}  # proxy -> entries in flight once its message was queued
 
@@ -55,6 +66,8 @@
     def __init__(self, settings: Settings) -> None:
         self.in_flight: float = 0  # entries
         self.sequence = 0  # number of the latest barrier
+        self._batch_count = 0  # batches since the start
+        self._acknowledged_number = -1  # number of the latest batch that any proxy has acknowledged
         self.total_entries: float = 0  # reserved since the start, with the headers
         self._batches: dict[int, Batch] = {}  # sequence -> batch with entries in flight, oldest first
         self._batches_of: dict[int, deque[Batch]] = {}  # proxy -> its batches, oldest first
@@ -123,7 +136,8 @@
 
     def _new_batch(self, now: int) -> Batch:
         self.sequence = next(number for number in self._next_sequences() if number not in self._batches)
-        batch = self._batches[self.sequence] = Batch(self.sequence, now)
+        batch = self._batches[self.sequence] = Batch(self._batch_count, self.sequence, now)
+        self._batch_count += 1
         return batch
 
     def _next_sequences(self) -> Iterator[int]:
@@ -163,8 +177,25 @@
             self._observe_latency(batch, proxy, min(latency, now - batch.reserved_at))
         while self._release_oldest(proxy) not in (sequence, None) and sequence is not None:
             pass
+        if batch:
+            self._record_passed(now, batch)
+            self._release_passed(now)
         return True
 
+    def _record_passed(self, now: int, acknowledged: Batch) -> None:
+        """Record that the channel has passed all batches before an acknowledged one."""
+        if acknowledged.number < self._acknowledged_number:
+            return
+        if acknowledged.number > self._acknowledged_number:
+            self._acknowledged_number = acknowledged.number
+            for batch in self._batches.values():
+                if batch.number >= acknowledged.number:
+                    break
+                batch.passed_at = now if batch.passed_at is None else min(batch.passed_at, now)
+        # Of the acknowledged batch itself, the channel may still have the messages that it has not passed
+        rest = sum(acknowledged.entries.values())
+        acknowledged.passed_at = now + int(SECOND * rest / self.observed_rate)
+
     def _observe_latency(self, batch: Batch, proxy: int, latency: int) -> None:
         expected = TRANSIT_TIME + batch.queued[proxy] / self.rate * SECOND
         self._mean_latency += (latency - self._mean_latency) / RATE_SAMPLES
@@ -176,11 +207,24 @@
             self._release_oldest(proxy)
 
     def expire(self, now: int) -> None:
-        """Release messages that are too old to be still in flight."""
+        """Release messages that the channel has passed or that are too old to be still in flight."""
+        self._release_passed(now)
         expired_before = now - LOST_BARRIER_FACTOR * self._full_queue_time
         for batch in [batch for batch in self._batches.values() if batch.reserved_at < expired_before]:
-            for proxy in list(batch.entries):
-                self._release_oldest(proxy)
+            self._release_batch(batch)
+
+    def _release_passed(self, now: int) -> None:
+        """Release messages that were not acknowledged in time after the channel had passed them."""
+        passed_before = now - ACKNOWLEDGEMENT_TIMEOUT
+        for batch in list(self._batches.values()):
+            if batch.passed_at is None or batch.passed_at > passed_before:
+                break  # the channel passes the batches in order
+            self._release_batch(batch)
+
+    def _release_batch(self, batch: Batch) -> None:
+        """Release all messages of the oldest batch in flight."""
+        for proxy in list(batch.entries):
+            self._release_oldest(proxy)
 
     def _release_oldest(self, proxy: int) -> int:
         """Release the oldest message to a proxy, and return the number of its barrier."""
--- a/tests/reference/channel.py
+++ b/tests/reference/channel.py
@@ -2,7 +2,8 @@
 
 The updates of a turn to one proxy are one message: a header, an acknowledgement barrier (`serial`, a "mark")
 and its entries ("lines"). They leave the account when the proxy acknowledges that barrier or a later one, or
-has left; otherwise when they are too old.
+has left; otherwise when the channel has passed them for some time, by the acknowledgements of other proxies,
+or when they are too old.
 """
 
 from collections import Counter, deque
@@ -21,15 +22,18 @@
 # Acknowledgements in the mean of the observed rate: about half of a coordinator's proxies, since a stalled
 # one shows nothing about the channel
 ANSWERS = 64
+# ns that an acknowledgement may take after the channel has passed its message
+PASSED = 2 * SECOND
 # ns of transport and applying beyond the time in the queue: with small queues the latency is mostly that, and
 # the channel is not slow because of it
 WAY = SECOND // 2
 
 
 class Turn:
-    __slots__ = ("ahead", "at", "lines", "serial")
+    __slots__ = ("ahead", "at", "lines", "number", "passed", "serial")
 
-    def __init__(self, serial, at):
+    def __init__(self, number, serial, at):
+        self.number, self.passed = number, None  # passed: ns at which the channel has sent the whole turn
         self.serial, self.at, self.lines = serial, at, {}  # proxy -> entries of its message
         self.ahead = {}  # proxy -> entries of its message and of all earlier ones
 
@@ -37,6 +41,10 @@
 class Channel:
     def __init__(self):
         self.waiting, self.serial, self.ordered = 0, 0, 0  # ordered: entries sent in total, with headers
+        self.count, self.newest = (
+            0,
+            -1,
+        )  # number of turns, and the newest of which any barrier is acknowledged
         self.turns = {}  # barrier -> Turn, oldest first, while any of its entries is in flight
         self.held = {}  # proxy -> its turns, oldest first
         # ns: mean latency of messages, and the one expected by the configured rate
@@ -71,7 +79,8 @@
         first = turn is None or turn.at != now
         if first:
             self.serial = next(n for n in self._serials() if n not in self.turns)
-            turn = self.turns[self.serial] = Turn(self.serial, now)
+            turn = self.turns[self.serial] = Turn(self.count, self.serial, now)
+            self.count += 1
         if proxy not in turn.lines:
             turn.lines[proxy] = 0
             self.held.setdefault(proxy, deque()).append(turn)
@@ -122,8 +131,22 @@
             self.expected += (told - self.expected) / ANSWERS
         while self._take(proxy) not in (serial, None) and serial is not None:
             pass
+        if turn and turn.number >= self.newest:
+            self.newest = turn.number
+            for older in [older for older in self.turns.values() if older.number < turn.number]:
+                older.passed = min(now, older.passed or now)
+            turn.passed = now + int(SECOND * sum(turn.lines.values()) / self.met)
+        if turn:
+            self._take_passed(now)
         return True
 
+    def _take_passed(self, now):
+        for turn in list(self.turns.values()):
+            if turn.passed is None or turn.passed > now - PASSED:
+                return
+            for proxy in list(turn.lines):
+                self._take(proxy)
+
     def left(self, proxy):
         while proxy in self.held:
             self._take(proxy)
@@ -133,7 +156,8 @@
         return (self.waiting + lines) / self.pace * SECOND
 
     def expire(self, now):
-        """Remove the messages that are too old to be still in flight."""
+        """Remove the messages that the channel has passed or that are too old to be still in flight."""
+        self._take_passed(now)
         before = now - MARK_LOST * self.full
         for turn in [turn for turn in self.turns.values() if turn.at < before]:
             for proxy in list(turn.lines):
--- a/tests/support/proxy_fleet.py
+++ b/tests/support/proxy_fleet.py
@@ -118,6 +118,7 @@
         self.joined: dict[int, str] = {}  # proxy -> zone
         self.tables: dict[int, ProxyTable] = {}
         self.acknowledges = True
+        self.silent: set[int] = set()  # proxies that acknowledge nothing
         self.zones = zones
         self.response_times: dict[int, int] = {}  # index in `ready` -> ns, for `report_load`
         self.backends_created = 0
@@ -242,9 +243,14 @@
         share = self.backlog / self.settings.backlog_limit
         self.largest_backlog_share = max(self.largest_backlog_share, share)
 
+    def on_arrived(self, proxy: int) -> None:
+        """Handle the arrival of the oldest message that was written to a proxy; a hook for subclasses."""
+
     def _arrive(self, message: QueuedMessage) -> None:
         self.backlog -= message.entries
-        if self.acknowledges and message.barrier is not None:
+        self.on_arrived(message.proxy)
+        acknowledges = self.acknowledges and message.proxy not in self.silent
+        if acknowledges and message.barrier is not None:
             latency = self.now - message.written_at
             acknowledged = Acknowledged(proxy=message.proxy, sequence=message.barrier, latency=latency)
             self.coordinator.report(self.now, acknowledged)
