Let one further message through while only unreachable proxies hold the account

What callers would see: proxies that join a coordinator whose other proxies are all unreachable get no table for up to sixteen full queues, and not within the drain grace.

Cause: InFlightAccount.capacity_left. Messages to unreachable proxies stay until an acknowledgement shows that the channel has passed them. If nothing else is in flight, nobody can acknowledge, and a message that could be acknowledged does not fit into its share.

Change: while all messages in flight are to unreachable proxies, the rest of the limit may be used. The first order ends that state.

--- a/granitespool/planner/in_flight.py
+++ b/granitespool/planner/in_flight.py
@@ -71,6 +71,7 @@
         self.total_entries: float = 0  # reserved since the start, with the headers
         self._batches: dict[int, Batch] = {}  # sequence -> batch with entries in flight, oldest first
         self._batches_of: dict[int, deque[Batch]] = {}  # proxy -> its batches, oldest first
+        self._unreachable: set[int] = set()  # those of these proxies that are unreachable
         self._mean_latency = 0.0  # ns, of acknowledgements
         self._mean_expected_latency = 0.0  # ns, of the same messages at the configured rate
         self.apply_settings(settings)
@@ -105,8 +106,12 @@
         """Return the entries that still fit into a share of the queue; negative if more are in flight.
 
         `within` limits the time (ns) that the queue takes at the observed rate. An empty queue has capacity
-        for nearly its whole limit, whatever the share.
+        for nearly its whole limit, whatever the share. If all messages in flight are to unreachable proxies,
+        the rest of the limit may be used, because only the acknowledgement of a further message can show that
+        the channel has passed them.
         """
+        if self._unreachable and len(self._unreachable) == len(self._batches_of):
+            return self.limit - self.in_flight
         capacity = share * self.limit
         if within is not None:
             capacity = min(capacity, self.observed_rate * within / SECOND)
@@ -201,6 +206,15 @@
         self._mean_latency += (latency - self._mean_latency) / RATE_SAMPLES
         self._mean_expected_latency += (expected - self._mean_expected_latency) / RATE_SAMPLES
 
+    def mark_unreachable(self, proxy: int) -> None:
+        """Record that a proxy is unreachable; the channel may still hold messages to it."""
+        if proxy in self._batches_of:
+            self._unreachable.add(proxy)
+
+    def mark_reachable(self, proxy: int) -> None:
+        """Record that a proxy is reachable again, on the same stream."""
+        self._unreachable.discard(proxy)
+
     def release(self, proxy: int) -> None:
         """Release all messages to a proxy that has left."""
         while proxy in self._batches_of:
@@ -232,6 +246,7 @@
         batch = batches.popleft()
         if not batches:
             del self._batches_of[proxy]
+            self._unreachable.discard(proxy)
         self.in_flight -= batch.entries.pop(proxy)
         if not batch.entries:
             del self._batches[batch.sequence]
--- a/granitespool/planner/planner.py
+++ b/granitespool/planner/planner.py
@@ -173,7 +173,7 @@
             case ProxyJoined():
                 self._on_proxy_joined(now, event)
             case ProxyLeft():
-                self._remove_proxy(event.proxy, event.unreachable)
+                self._on_proxy_left(event)
             case SliceAssigned():
                 self._slices.assign(event.table, event.owned)
             case SliceEntry():
@@ -242,7 +242,11 @@
             self._publish(now, backend)
 
     def _on_proxy_joined(self, now: int, joined: ProxyJoined) -> None:
-        self._remove_proxy(joined.proxy, joined.resumed)
+        self.assignment.leave(joined.proxy)
+        if joined.resumed:
+            self.in_flight.mark_reachable(joined.proxy)
+        else:
+            self.in_flight.release(joined.proxy)
         table = self.assignment.join(joined.proxy, joined.zone, joined.rate)
         if self.settings.slices:
             self._slices.proxy_joined()
@@ -257,10 +261,12 @@
         self.admission.publish_initial_levels(now, table)
         self.assignment.assign(now, joined.proxy)
 
-    def _remove_proxy(self, proxy: int, is_unreachable: bool) -> None:
-        self.assignment.leave(proxy)
-        if not is_unreachable:  # messages to an unreachable proxy may still be in flight
-            self.in_flight.release(proxy)
+    def _on_proxy_left(self, left: ProxyLeft) -> None:
+        self.assignment.leave(left.proxy)
+        if left.unreachable:
+            self.in_flight.mark_unreachable(left.proxy)
+        else:
+            self.in_flight.release(left.proxy)
 
     def _on_acknowledged(self, now: int, event: Acknowledged) -> None:
         if self.in_flight.acknowledge(now, event.proxy, event.sequence, event.latency):
--- a/tests/planner/test_silent_proxies.py
+++ b/tests/planner/test_silent_proxies.py
@@ -103,6 +103,30 @@
     assert not fleet.late
 
 
+# Guards against joining proxies without a table while all messages in flight are to unreachable ones
+@pytest.mark.parametrize("drains", [6, 18])
+def test_proxies_that_join_while_all_others_are_unreachable_get_their_tables_in_time(drains):
+    fleet = DrainObserver(
+        BACKENDS,
+        3,
+        coordinators=2,
+        entries_per_s=900.0,
+        backlog_limit=2700.0,
+        messages_limit=30,
+        messages_span=10 * SECOND,
+        drain_grace=DRAIN_GRACE,
+        proxies_expected=2 * PROXIES,
+    )
+    replace_while_silent(fleet, PROXIES, drains)
+    assert fleet.coordinator.planner.in_flight.in_flight > fleet.settings.backlog_limit / 3
+    joining = range(PROXIES, PROXIES + 20)
+    for proxy in joining:
+        fleet.join(proxy, bootstrap=False)
+    fleet.run(DRAIN_GRACE / SECOND)
+    assert not fleet.coordinator.planner.assignment.unassigned
+    assert all(fleet.weights[proxy] for proxy in joining)
+
+
 def account_of(rate=1000.0):
     return InFlightAccount(Settings(entries_per_s=rate, backlog_limit=1000.0, message_header=3.0))
 
@@ -158,6 +182,26 @@
     assert account.in_flight == 10  # the message to proxy 5, which the channel passes after that to proxy 4
 
 
+def test_the_rest_of_the_limit_may_be_used_while_all_messages_in_flight_are_to_unreachable_proxies():
+    account = account_of()
+    reserve(account, 0, 1, 2, entries=246)
+    account.mark_unreachable(1)
+    assert account.capacity_left(0.35) == -150
+    account.mark_unreachable(2)
+    assert account.capacity_left(0.35) == account.capacity_left(0.94, SECOND // 10) == 500
+    reserve(account, SECOND, 3)
+    assert account.capacity_left(0.35) == -160
+    account.release(3)
+    assert account.capacity_left(0.35) == 500
+    account.mark_reachable(1)
+    assert account.capacity_left(0.35) == -150
+    account.release(1)
+    account.release(2)
+    assert account.capacity_left(0.35) == 940
+    account.mark_unreachable(1)
+    assert account.capacity_left(0.35) == 940
+
+
 STEPS = st.lists(
     st.one_of(
         st.tuples(st.just("join"), st.integers(1, 80)),
