--- a/tests/planner/test_simulator_adapter.py
+++ b/tests/planner/test_simulator_adapter.py
@@ -89,7 +89,7 @@
 def test_an_exception_of_a_planner_is_reported_only_for_its_coordinator(
     monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    monkeypatch.setattr(simulator_adapter.Planner, "_remove_proxy", lambda *_: 1 / 0)
+    monkeypatch.setattr(simulator_adapter.Planner, "_on_proxy_left", lambda *_: 1 / 0)
     other = {**START, "coordinator": 1}
     code, out, err = run(monkeypatch, capsys, batch(START, other, LIST, LEFT))
     errors = [action for action in json.loads(out)["do"] if action["type"] == "fatal"]
