Tests of silent proxies build their fleet in one place

Cause: two tests had the same settings of the fleet, and a parameter was never used.

Change: make_fleet has them; the assertions are the same.

Measured: the file's tests pass.

--- a/tests/planner/test_silent_proxies.py
+++ b/tests/planner/test_silent_proxies.py
@@ -60,7 +60,21 @@
             self.late |= {(proxy, name) for name in used & overdue}
 
 
-def replace_while_silent(fleet, silent, drains, report_unreachable=True):
+def make_fleet(entries_per_s, backlog_limit):
+    return DrainObserver(
+        BACKENDS,
+        3,
+        coordinators=2,
+        entries_per_s=entries_per_s,
+        backlog_limit=backlog_limit,
+        messages_limit=30,
+        messages_span=10 * SECOND,
+        drain_grace=DRAIN_GRACE,
+        proxies_expected=2 * PROXIES,
+    )
+
+
+def replace_while_silent(fleet, silent, drains):
     """Let proxies go silent, replace `drains` backends one by one and run until the drains are over."""
     for proxy in range(PROXIES):
         fleet.join(proxy)
@@ -68,7 +82,7 @@
     fleet.silent.update(range(silent))
     began = fleet.now
     fleet.run(1)
-    reported = not report_unreachable
+    reported = False
     for _ in range(int(drains + 12 / DRAIN_INTERVAL)):
         if len(fleet.drained_at) < drains:
             fleet.drain(1)
@@ -87,17 +101,7 @@
 @pytest.mark.parametrize("silent", [36, 60])
 @pytest.mark.parametrize("entries_per_s, backlog_limit", [(900.0, 2700.0), (730.0, 1460.0)])
 def test_drains_reach_the_other_proxies_in_time_while_some_are_silent(silent, entries_per_s, backlog_limit):
-    fleet = DrainObserver(
-        BACKENDS,
-        3,
-        coordinators=2,
-        entries_per_s=entries_per_s,
-        backlog_limit=backlog_limit,
-        messages_limit=30,
-        messages_span=10 * SECOND,
-        drain_grace=DRAIN_GRACE,
-        proxies_expected=2 * PROXIES,
-    )
+    fleet = make_fleet(entries_per_s, backlog_limit)
     replace_while_silent(fleet, silent, drains=18)
     assert len(fleet.drained_at) == 18
     assert not fleet.late
@@ -106,17 +110,7 @@
 # Guards against joining proxies without a table while all messages in flight are to unreachable ones
 @pytest.mark.parametrize("drains", [6, 18])
 def test_proxies_that_join_while_all_others_are_unreachable_get_their_tables_in_time(drains):
-    fleet = DrainObserver(
-        BACKENDS,
-        3,
-        coordinators=2,
-        entries_per_s=900.0,
-        backlog_limit=2700.0,
-        messages_limit=30,
-        messages_span=10 * SECOND,
-        drain_grace=DRAIN_GRACE,
-        proxies_expected=2 * PROXIES,
-    )
+    fleet = make_fleet(900.0, 2700.0)
     replace_while_silent(fleet, PROXIES, drains)
     assert fleet.coordinator.planner.in_flight.in_flight > fleet.settings.backlog_limit / 3
     joining = range(PROXIES, PROXIES + 20)
