The drain grace that stands in for an unknown one is defined once

Change: effective_drain_grace in planner/budget.py; both use it. No value changes.

Measured: tests of assignment and exclusion and the recorded decisions pass.

--- a/granitespool/planner/assignment.py
+++ b/granitespool/planner/assignment.py
@@ -4,12 +4,16 @@
 
 from granitespool.planner.actions import PlannerActions
 from granitespool.planner.admission_levels import OrderedLevels
-from granitespool.planner.budget import MANDATORY_QUEUE_SHARE, ChannelBudget
+from granitespool.planner.budget import (
+    DEFAULT_DRAIN_GRACE,
+    MANDATORY_QUEUE_SHARE,
+    ChannelBudget,
+    effective_drain_grace,
+)
 from granitespool.planner.outbox import Outbox
 from granitespool.planner.records import UnassignedProxy
 from granitespool.planner.tables import TableDirectory
 from granitespool.settings import Settings
-from granitespool.units import SECOND
 
 QUEUE_SHARE = 0.35  # share of the queue that assignments may fill: drains need the rest
 # Share of the drain grace that assignments may take at the observed rate, since a drain queues behind them
@@ -17,7 +21,6 @@
 DRAIN_GRACE_SHARE = 0.5  # the same, for proxies that are assigned before a pending drain is published
 # A proxy that has waited for the drain grace divided by this is assigned first: its table is outdated
 OVERDUE_GRACE_DIVISOR = 3
-DEFAULT_DRAIN_GRACE = SECOND  # ns, where none is configured
 
 
 class JoinedProxy(NamedTuple):
@@ -50,7 +53,7 @@
 
     @property
     def _drain_grace(self) -> int:
-        return DEFAULT_DRAIN_GRACE if self.settings.drain_grace is None else self.settings.drain_grace
+        return effective_drain_grace(self.settings)
 
     def join(self, proxy: int, zone: str, rate: float) -> int:
         """Record a proxy that has joined, and return the table chosen for it."""
--- a/granitespool/planner/budget.py
+++ b/granitespool/planner/budget.py
@@ -18,6 +18,12 @@
 JOINING_QUEUE_SHARE = 0.2  # the same while any proxy is unassigned: assignments go first
 # ns at the observed rate that updates may wait in the channel, since a drain queues behind them
 PUBLICATION_LAG_MAX = 2 * SECOND
+DEFAULT_DRAIN_GRACE = SECOND  # ns, where none is configured
+
+
+def effective_drain_grace(settings: Settings) -> int:
+    """Return the time (ns) after which proxies must not use a drained backend."""
+    return DEFAULT_DRAIN_GRACE if settings.drain_grace is None else settings.drain_grace
 
 
 class ChannelBudget:
--- a/granitespool/planner/exclusion.py
+++ b/granitespool/planner/exclusion.py
@@ -10,14 +10,13 @@
 
 from granitespool.planner.actions import PlannerActions
 from granitespool.planner.assignment import ProxyAssignment
-from granitespool.planner.budget import MANDATORY_QUEUE_SHARE, ChannelBudget
+from granitespool.planner.budget import MANDATORY_QUEUE_SHARE, ChannelBudget, effective_drain_grace
 from granitespool.planner.dirty_set import DirtySet
 from granitespool.planner.fleet import Fleet
 from granitespool.planner.outbox import Outbox
 from granitespool.planner.records import READY, Backend, Exclusion
 from granitespool.planner.tables import TableDirectory
 from granitespool.settings import Settings
-from granitespool.units import SECOND
 
 GRACE_SHARE = 0.5  # share of the drain grace: proxies that get their table within it need no exclusions
 # Share of the drain grace that exclusions wait, so that one reaches many joining proxies
@@ -25,7 +24,6 @@
 # Drain graces after which a drain needs no exclusion: the proxies' former coordinator has removed the backend
 RECENT_DRAIN_GRACES = 2
 SMALL_QUEUE_SHARE = 0.25  # with less of the queue in flight, a few exclusions are worth their headers
-DEFAULT_DRAIN_GRACE = SECOND  # ns, where none is configured
 
 
 class ExclusionChange(NamedTuple):
@@ -61,7 +59,7 @@
 
     @property
     def _drain_grace(self) -> int:
-        return DEFAULT_DRAIN_GRACE if self.settings.drain_grace is None else self.settings.drain_grace
+        return effective_drain_grace(self.settings)
 
     def publish(self, now: int, entries_per_proxy: int) -> None:
         """Exclude and readmit backends as far as the channel has capacity.
