--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,7 +11,7 @@
     """Play the start of the day of 400 proxies."""
     settings = st.base_settings(["brisbane", "toowoomba", "gold-coast"], proxies=400)
     settings["balancers"] = 2
-    return await st.play_drain_while_joining(folder, record, settings, drain_at=1.0, watched=12.0)
+    return await st.play_drain_while_joining(folder, record, settings, drain_at=1.0, count=1, watched=12.0)
 
 
 if __name__ == "__main__":
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Case 7: 240 proxies join one coordinator, and a backend drains two seconds later; the grace is 4 s."""
+"""Case 7: 240 proxies join one coordinator, and five backends drain three seconds later."""
 
 import sys
 from pathlib import Path
@@ -11,8 +11,7 @@
     """Play the start of a day of 240 proxies."""
     settings = st.base_settings(["brisbane", "toowoomba", "gold-coast"], proxies=240)
     settings["balancers"] = 3
-    settings["rules"]["stop_sending_within_us"] = 4_000_000
-    return await st.play_drain_while_joining(folder, record, settings, drain_at=2.0, watched=12.0)
+    return await st.play_drain_while_joining(folder, record, settings, drain_at=3.0, count=5, watched=13.0)
 
 
 if __name__ == "__main__":
