--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -663,11 +663,11 @@
         """Run jobs beside the case until it ends."""
         self.tasks += [asyncio.ensure_future(job) for job in jobs]
 
-    def start_platform(self) -> None:
-        """Run the channel, the collectors, and each proxy with its traffic."""
+    def start_platform(self, run: Callable[[Proxy], Awaitable[None]] = Proxy.run) -> None:
+        """Run the channel, the collectors, and each proxy with its traffic; `run` holds a proxy's streams."""
         self.start(self.channel.run(), *(collector.run() for collector in self.collectors.values()))
         for proxy in self.proxies:
-            self.start(proxy.run(), proxy.traffic(), proxy.usage())
+            self.start(run(proxy), proxy.traffic(), proxy.usage())
 
     def sent(self, proxy: Proxy, class_name: str, name: str) -> None:
         """Run one request that a proxy has sent to a backend."""
