Review stand-ins: ports that outgoing connections never take

Cause: a backend that comes back could find its port taken by an outgoing connection, and a stand-in's failure went unseen.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -74,8 +74,7 @@
                 f"{scene.channel.waiting:.0f} lines wait in the channel",
                 show=True,
             )
-        if not coordinator.is_running():
-            raise st.CaseNotRunError("the coordinator ended")
+        scene.check_jobs()
         proxies = sorted({number for number, _ in scene.bare})
         record.line(f"proxies without a line for too long: {len(proxies)} {proxies}", show=True)
         return st.BROKEN if scene.bare else st.HELD
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -61,8 +61,7 @@
                 backend.status = "ready"
             discovery.publish(*dying)
         await asyncio.sleep(END_AFTER)
-        if not coordinator.is_running():
-            raise st.CaseNotRunError("the coordinator ended")
+        scene.check_jobs()
         shut = [proxy.number for proxy in scene.proxies if proxy.out]
         record.line(f"{len(shut)} proxies have backends shut out: {shut}", show=True)
         proxies = sorted({number for number, _ in scene.bare})
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -45,11 +45,15 @@
 
 
 def free_port() -> int:
-    """Return a TCP port of the loopback address that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
+    """Return a free loopback port, below those that the system gives to outgoing connections.
+
+    A party that ends and starts again then finds its port free.
+    """
+    while True:
+        port = random.SystemRandom().randrange(12_000, 30_000)
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
 
 
 class Record:
@@ -108,8 +112,8 @@
 
     async def start(self) -> None:
         """Listen; a backend keeps its address."""
+        self.port = self.port or free_port()
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
 
     async def die(self) -> None:
         """Stop like a killed process: connections are reset and new ones refused."""
@@ -160,8 +164,8 @@
 
     async def start(self) -> None:
         """Listen at the agent's address."""
+        self.port = free_port()
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
 
     def known(self) -> dict[str, Any]:
         """Return the whole list as it is now."""
@@ -715,6 +719,14 @@
                             f"{sorted(proxy.out)}"
                         )
 
+    def check_jobs(self) -> None:
+        """Raise CaseNotRunError if a stand-in or a coordinator has ended before the case."""
+        for task in self.tasks:
+            if task.done() and not task.cancelled() and task.exception():
+                raise CaseNotRunError(f"a stand-in failed: {task.exception()!r}")
+        if not all(coordinator.is_running() for coordinator in self.coordinators):
+            raise CaseNotRunError("a coordinator ended")
+
     async def close(self) -> None:
         """End all that was started."""
         for task in self.tasks:
@@ -759,8 +771,7 @@
 
     def verdict(self) -> int:
         """Record what was counted, and return the exit code of the case."""
-        if not self.coordinator.is_running():
-            raise CaseNotRunError("the coordinator ended")
+        self.scene.check_jobs()
         line = self.scene.record.line
         proxies = sum(count > 0 for count in self.late.values())
         line(f"sent to draining backends, by the seconds since: {dict(self.sent)}", show=True)
