--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Case 6: a zone is lost for 5 s while 400 proxies join one coordinator."""
+"""Case 6: three backends die while 400 proxies join one coordinator, and return; later another drains."""
 
 import asyncio
 import sys
@@ -7,18 +7,20 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import standins_2 as st
 
-ZONES = {"brisbane": 14, "toowoomba": 13, "gold-coast": 3}
+ZONES = {"brisbane": 10, "toowoomba": 10, "gold-coast": 10}
+DYING = 3
 PROXIES = 400
 START_SPREAD = 1.0  # the proxies begin to dial within this time
 LISTED_GONE_AFTER = 1.9  # after the death
 DIAL_AFTER = 1.6  # after the death
 LOST_FOR = 5.0
 LISTED_READY_AFTER = 0.5  # after the return
-WATCHED = 45.0  # after the return
+DRAIN_AFTER = 30.0  # after the proxies have begun to dial; with TROUBLE=0 too
+WATCHED = 12.0  # after the drain
 
 
 async def case(folder: Path, record: st.Record) -> int:
-    """Lose the backends of a small zone and bring them back, and judge the rule on proxies without a line."""
+    """Let backends die and return, drain another one long after, and judge the rule on drains."""
     settings = st.base_settings(list(ZONES), PROXIES)
     settings["balancers"] = 2
     scene = st.Scene(folder, record, settings)
@@ -30,12 +32,13 @@
     coordinator = st.Coordinator(scene, "n0")
     scene.coordinators.append(coordinator)
     scene.recorded = set(range(0, PROXIES, 20))
-    lost = scene.in_zone("gold-coast")
+    lost = scene.in_zone("gold-coast")[:DYING]
+    drained = scene.in_zone("brisbane")[0]
 
-    async def lose_the_zone() -> None:
+    async def lose_backends() -> None:
         for backend in lost:
             await backend.die()
-        record.line("the backends of gold-coast died", show=True)
+        record.line("three backends of gold-coast died", show=True)
         await asyncio.sleep(LISTED_GONE_AFTER)
         for backend in lost:
             backend.status = "gone"
@@ -43,7 +46,7 @@
         await asyncio.sleep(LOST_FOR - LISTED_GONE_AFTER)
         for backend in lost:
             await backend.come_back()
-        record.line("the backends of gold-coast are back", show=True)
+        record.line("the three backends are back", show=True)
         await asyncio.sleep(LISTED_READY_AFTER)
         for backend in lost:
             backend.status = "ready"
@@ -58,26 +61,24 @@
         await coordinator.start()
         scene.add_proxies(PROXIES, 1.0, lambda: coordinator.port)
         if st.trouble():
-            scene.start(lose_the_zone())
+            scene.start(lose_backends())
         await asyncio.sleep(DIAL_AFTER)
-        limit = settings["family_info"]["empty_for_us"] / 1e6
-        scene.start(scene.watch_for_bare_proxies(limit, coordinator))
+        judge = st.DrainJudge(scene, discovery, coordinator)
         scene.start_platform(start_later)
-        end = record.now() + LOST_FOR - DIAL_AFTER + WATCHED
-        while record.now() < end:
+        for second in range(int(DRAIN_AFTER + WATCHED)):
             await asyncio.sleep(1.0)
+            if second == int(DRAIN_AFTER):
+                drained.status = "draining"
+                discovery.publish(drained)
             joined = sum(proxy.joined_at is not None for proxy in scene.proxies)
             with_table = sum(proxy.tables_applied > 0 for proxy in scene.proxies)
-            bare = sum(not proxy.usable("status") for proxy in scene.proxies)
+            users = sum(drained.name in proxy.usable("status") for proxy in scene.proxies)
             record.line(
-                f"{joined} joined, {with_table} have a table of the coordinator, {bare} have no line, "
-                f"{scene.channel.waiting:.0f} lines wait in the channel",
+                f"{joined} joined, {with_table} have a table of the coordinator, {users} may send to "
+                f"{drained.name} ({drained.status}), {scene.channel.waiting:.0f} lines wait in the channel",
                 show=True,
             )
-        scene.check_jobs()
-        proxies = sorted({number for number, _ in scene.bare})
-        record.line(f"proxies without a line for too long: {len(proxies)} {proxies}", show=True)
-        return st.BROKEN if scene.bare else st.HELD
+        return judge.verdict()
     finally:
         await scene.close()
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,7 +11,10 @@
     """Play the start of a day of 240 proxies."""
     settings = st.base_settings(["brisbane", "toowoomba", "gold-coast"], proxies=240)
     settings["balancers"] = 3
-    return await st.play_drain_while_joining(folder, record, settings, drain_at=3.0, count=5, watched=13.0)
+    settings["rules"]["stop_sending_within_us"] = 6_000_000
+    return await st.play_drain_while_joining(
+        folder, record, settings, proxies=240, drain_at=3.0, watched=13.0
+    )
 
 
 if __name__ == "__main__":
