--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -298,6 +298,7 @@
         self.on_the_way: deque[tuple[int, list[dict[str, Any]], float]] = deque()
         self.tables_applied = 0
         self.writer: asyncio.StreamWriter | None = None
+        self.is_cut_off = False
         self.dial_to: Callable[[], int | None] = lambda: None
         self.random = random.Random(1000 + number)
         self.redial = (0.13, 2.5)
@@ -358,9 +359,22 @@
                 self.scene.channel.enter(self, self.stream, parts)
                 parts = []
 
+    def cut_off(self) -> None:
+        """Lose all ways to the coordinators: the stream stays open and silent; the proxy counts as left."""
+        self.is_cut_off = True
+        self.joined_at = None
+        if self.writer:
+            self.writer.transport.pause_reading()
+
+    def connect_again(self) -> None:
+        """Reach the coordinators again; the former stream is reset, and the proxy dials."""
+        self.is_cut_off = False
+        if self.writer:
+            self.writer.transport.abort()
+
     def send(self, message: dict[str, Any]) -> None:
         """Write a message on the stream."""
-        if self.writer and not self.writer.is_closing():
+        if self.writer and not self.writer.is_closing() and not self.is_cut_off:
             with suppress(OSError):
                 self.writer.write(frame(message))
 
