--- a/review/6/case.py
+++ b/review/6/case.py
@@ -68,8 +68,7 @@
         for second in range(int(DRAIN_AFTER + WATCHED)):
             await asyncio.sleep(1.0)
             if second == int(DRAIN_AFTER):
-                drained.status = "draining"
-                discovery.publish(drained)
+                scene.start(scene.replace(discovery, [drained]))
             joined = sum(proxy.joined_at is not None for proxy in scene.proxies)
             with_table = sum(proxy.tables_applied > 0 for proxy in scene.proxies)
             users = sum(drained.name in proxy.usable("status") for proxy in scene.proxies)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -12,9 +12,7 @@
     settings = st.base_settings(["brisbane", "toowoomba", "gold-coast"], proxies=240)
     settings["balancers"] = 3
     settings["rules"]["stop_sending_within_us"] = 6_000_000
-    return await st.play_drain_while_joining(
-        folder, record, settings, proxies=240, drain_at=3.0, watched=13.0
-    )
+    return await st.play_drain_while_joining(folder, record, settings, proxies=240, drain_at=3.0, count=5)
 
 
 if __name__ == "__main__":
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Case 8: 300 proxies join one coordinator, and five backends drain within the same second."""
+"""Case 8: 300 proxies join one coordinator, and four backends drain within the same second."""
 
 import sys
 from pathlib import Path
@@ -11,7 +11,7 @@
     """Play the start of the day of 400 proxies, three in four of them at one coordinator."""
     settings = st.base_settings(["brisbane", "toowoomba", "gold-coast"], proxies=400)
     settings["balancers"] = 2
-    return await st.play_drain_while_joining(folder, record, settings, 300, drain_at=0.9, watched=16.0)
+    return await st.play_drain_while_joining(folder, record, settings, proxies=300, drain_at=0.9, count=4)
 
 
 if __name__ == "__main__":
