Metrics have the total of entries by what they were sent for

Cause: a log says how much enters the channel and how much is in flight, but not whether it is drains, exclusions or assignments of proxies. So it does not tell an update that is too large for the channel from one that others are sent before.

No decision changes.

Measured: the new test and those of the planner, the recorded decisions, metrics, log events and external names pass (the rest of the suite not run for this commit).

--- a/granitespool/net/metrics.py
+++ b/granitespool/net/metrics.py
@@ -54,6 +54,9 @@
             configured_rate=round(metrics.configured_rate, SHARE_DIGITS),
             observed_rate=round(metrics.observed_rate, SHARE_DIGITS),
             total_entries=round(metrics.total_entries, SHARE_DIGITS),
+            entries_by_kind={
+                kind: round(entries, SHARE_DIGITS) for kind, entries in metrics.entries_by_kind.items()
+            },
             acknowledgement_ms=metrics.acknowledgement_latency // MILLISECOND,
             overloaded=metrics.is_overloaded,
             admitted_share=round(metrics.admitted_share, SHARE_DIGITS),
--- a/granitespool/planner/exclusion.py
+++ b/granitespool/planner/exclusion.py
@@ -13,7 +13,7 @@
 from granitespool.planner.budget import MANDATORY_QUEUE_SHARE, ChannelBudget, effective_drain_grace
 from granitespool.planner.dirty_set import DirtySet
 from granitespool.planner.fleet import Fleet
-from granitespool.planner.outbox import Outbox
+from granitespool.planner.outbox import EntryKind, Outbox
 from granitespool.planner.records import READY, Backend, Exclusion
 from granitespool.planner.tables import TableDirectory
 from granitespool.settings import Settings
@@ -158,4 +158,4 @@
             self._actions.exclude(backend.name, excluded)
         if ordered:
             for proxy, entries in fitting.entries.items():
-                self._outbox.reserve(now, proxy, entries)
+                self._outbox.reserve(now, proxy, entries, EntryKind.EXCLUSION)
--- a/granitespool/planner/inspection.py
+++ b/granitespool/planner/inspection.py
@@ -7,6 +7,7 @@
 from granitespool.planner.fleet import Fleet
 from granitespool.planner.in_flight import InFlightAccount
 from granitespool.planner.load_reports import DECAY_FACTOR
+from granitespool.planner.outbox import Outbox
 from granitespool.planner.overload import OverloadDetector
 from granitespool.planner.records import READY, Backend, Exclusion, Link
 from granitespool.planner.slow_start import SlowStart
@@ -42,6 +43,7 @@
         assignment: ProxyAssignment,
         overload: OverloadDetector,
         slow_start: SlowStart,
+        outbox: Outbox,
     ) -> None:
         self.acknowledgement_latency = 0  # of the last acknowledgement, ns
         self._fleet = fleet
@@ -51,6 +53,7 @@
         self._assignment = assignment
         self._overload = overload
         self._slow_start = slow_start
+        self._outbox = outbox
 
     def backend(self, name: str) -> Backend | None:
         """Return the record of a backend, or None if it is not in the fleet."""
@@ -146,6 +149,7 @@
             configured_rate=self._account.rate,
             observed_rate=self._account.observed_rate,
             total_entries=self._account.total_entries,
+            entries_by_kind={kind.value: entries for kind, entries in self._outbox.total_entries.items()},
             acknowledgement_latency=self.acknowledgement_latency,
             is_overloaded=self._overload.is_overloaded,
             admitted_share=self._overload.admitted_share,
--- a/granitespool/planner/planner.py
+++ b/granitespool/planner/planner.py
@@ -129,7 +129,14 @@
             outbox,
         )
         self.inspection = PlannerInspection(
-            fleet, self.costs, self.subsets, self.in_flight, self.assignment, self.overload, self.slow_start
+            fleet,
+            self.costs,
+            self.subsets,
+            self.in_flight,
+            self.assignment,
+            self.overload,
+            self.slow_start,
+            outbox,
         )
 
     def apply_settings(self, settings: Settings) -> None:
--- a/granitespool/planner/publication.py
+++ b/granitespool/planner/publication.py
@@ -20,7 +20,7 @@
 from granitespool.planner.dirty_set import DirtySet
 from granitespool.planner.exclusion import ExclusionControl
 from granitespool.planner.fleet import RECOMPUTATION_PERIOD
-from granitespool.planner.outbox import Outbox
+from granitespool.planner.outbox import EntryKind, Outbox
 from granitespool.planner.records import Backend
 from granitespool.planner.slow_start import SlowStart
 from granitespool.planner.tables import TableDirectory
@@ -207,7 +207,8 @@
 
     def _send(self, now: int, candidate: Candidate, readmitted: dict[int, int]) -> None:
         backend, table, weight = candidate.backend, candidate.table, candidate.weight
-        self._outbox.set_entry(now, table, backend.name, weight, readmitted)
+        kind = EntryKind.MANDATORY if candidate.is_mandatory else EntryKind.CHANGE
+        self._outbox.set_entry(now, table, backend.name, weight, kind, readmitted)
         self._tables.entry_counts[table] += bool(weight) - bool(backend.published.get(table))
         self._dirty.record_published(backend, table, weight)
 
--- a/granitespool/planner/status.py
+++ b/granitespool/planner/status.py
@@ -95,6 +95,7 @@
     configured_rate: float  # entries per second
     observed_rate: float  # entries per second
     total_entries: float
+    entries_by_kind: dict[str, float]  # total_entries by what they were sent for
     acknowledgement_latency: int  # of the last acknowledgement, ns
     is_overloaded: bool
     admitted_share: float
--- a/tests/support/external_names.py
+++ b/tests/support/external_names.py
@@ -18,6 +18,7 @@
 from granitespool.endpoints import LOAD_METRICS, SIMULATOR_ENTRY, SOCKET_ENTRY, Phase, WireEntryNames
 from granitespool.net.connection import Role
 from granitespool.planner.events import HealthCheckOutcome, ListForm
+from granitespool.planner.outbox import EntryKind
 from granitespool.scale import report as scale_report
 from granitespool.scale import schema as scale_schema
 from granitespool.scale.checker.violation import Rule
@@ -80,7 +81,7 @@
         "flags and sub-commands": _command_line_words,
         "log events": lambda: set(written_events()),
         "fields of log events": lambda: {field for fields in written_events().values() for field in fields},
-        "values in log events": lambda: {*ListForm, *HealthCheckOutcome, *Role},
+        "values in log events": lambda: {*ListForm, *HealthCheckOutcome, *Role, *EntryKind},
         "files of the state folder": lambda: {disk.LOCK_NAME, store.INCOMPLETE_SUFFIX, _generation_prefix()},
         "JSON report of the emulator": lambda: set(_report_keys(emulator_report.Report)),
         "JSON report of the scale run": lambda: {
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -93,6 +93,25 @@
         assert last["oldest_in_flight_ms"] < 1000
 
 
+def test_metrics_have_the_total_of_entries_by_what_they_were_sent_for():
+    with closing(ReportingService("x")) as service:
+        start(service, "abcde")
+        service.clients.join("q", 2)
+        service.clients.wait_for("q", '"ticket"')
+        service.discovery.send_line(messages.list_changes(8, messages.listed("a", status="draining")))
+        service.advance_to(3500 * MILLISECOND)
+        first, *_, last = (event for event in logged_events(service) if event["event"] == "metrics")
+        assert first["entries_by_kind"] == {
+            "assignment": first["total_entries"],
+            "mandatory": 0,
+            "change": 0,
+            "exclusion": 0,
+            "admission": 0,
+        }
+        assert last["entries_by_kind"]["mandatory"] > 0
+        assert sum(last["entries_by_kind"].values()) == last["total_entries"]
+
+
 @pytest.mark.parametrize(
     "line", [b"", b"no event", b'0.12 {"at_ms":5,"event":"met', b'{"event":"x"}', b"[1]", b"\xff\xfe{"]
 )
