--- a/tests/coordinator/test_drawn_interleavings.py
+++ b/tests/coordinator/test_drawn_interleavings.py
@@ -13,6 +13,7 @@
 from granitespool.coordinator import Coordinator
 from granitespool.planner.candidates import CandidateSelection
 from granitespool.planner.exclusion import ExclusionControl
+from granitespool.planner.outbox import EntryKind
 from granitespool.planner.weights import EntryWeights
 from granitespool.scale.checker import check
 from granitespool.scale.trace import (
@@ -153,7 +154,8 @@
     fleet.run(3)
     coordinator = fleet.coordinators[1].coordinator
     for proxy in fleet.coordinators[1].joined:
-        coordinator.planner.outbox.reserve(fleet.now, proxy, len(fleet.backends.by_name))
+        entries = len(fleet.backends.by_name)
+        coordinator.planner.outbox.reserve(fleet.now, proxy, entries, EntryKind.EXCLUSION)
     for name in fleet.backends.by_name:
         coordinator.exclude(name, True)
     fleet.run(8)
