--- a/granitespool/planner/assignment.py
+++ b/granitespool/planner/assignment.py
@@ -4,12 +4,7 @@
 
 from granitespool.planner.actions import PlannerActions
 from granitespool.planner.admission_levels import OrderedLevels
-from granitespool.planner.budget import (
-    DEFAULT_DRAIN_GRACE,
-    MANDATORY_QUEUE_SHARE,
-    ChannelBudget,
-    effective_drain_grace,
-)
+from granitespool.planner.budget import MANDATORY_QUEUE_SHARE, ChannelBudget, effective_drain_grace
 from granitespool.planner.outbox import Outbox
 from granitespool.planner.records import UnassignedProxy
 from granitespool.planner.tables import TableDirectory
@@ -18,7 +13,8 @@
 QUEUE_SHARE = 0.35  # share of the queue that assignments may fill: drains need the rest
 # Share of the drain grace that assignments may take at the observed rate, since a drain queues behind them
 GRACE_SHARE = 1 / 3
-DRAIN_GRACE_SHARE = 0.5  # the same, for proxies that are assigned before a pending drain is published
+# Share of the drain grace, counted from the start of a drain, in which assignments may precede it
+DRAIN_GRACE_SHARE = 0.5
 # A proxy that has waited for the drain grace divided by this is assigned first: its table is outdated
 OVERDUE_GRACE_DIVISOR = 3
 
@@ -79,7 +75,8 @@
         `before_drain` is the start (ns) of a drain that is about to be published. Only proxies that are
         overdue and were waiting before it are assigned then, since they go before the drain.
         """
-        if self._budget.is_mandatory_waiting or not self.unassigned or self._capacity_left(before_drain) < 0:
+        capacity = self._capacity_left(now, before_drain)
+        if self._budget.is_mandatory_waiting or not self.unassigned or capacity < 0:
             return  # called at each acknowledgement: do not sort all proxies if none can be assigned
         overdue_since = now - self._drain_grace / OVERDUE_GRACE_DIVISOR
         priorities = {
@@ -104,7 +101,7 @@
         cost = (
             1 + self._tables.entry_counts[table] + self._levels.entry_count(table) + sum(readmitted.values())
         )
-        capacity = self._capacity_left(before_drain)
+        capacity = self._capacity_left(now, before_drain)
         if self._budget.is_mandatory_waiting or cost + self._budget.account.header > capacity:
             return False
         if self._tables.entry_counts[table] and proxy in self.unassigned:
@@ -113,11 +110,13 @@
             self._outbox.assign(now, proxy, table, cost)
         return True
 
-    def _capacity_left(self, before_drain: int | None) -> float:
+    def _capacity_left(self, now: int, before_drain: int | None) -> float:
+        """Return the entries that assignments may add to the channel, before a drain if given (its start)."""
         account = self._budget.account
-        grace = self.settings.drain_grace
-        if before_drain is not None:
-            return account.capacity_left(
-                MANDATORY_QUEUE_SHARE, DRAIN_GRACE_SHARE * (grace or DEFAULT_DRAIN_GRACE)
-            )
-        return account.capacity_left(QUEUE_SHARE, grace and GRACE_SHARE * grace)
+        if before_drain is None:
+            grace = self.settings.drain_grace
+            return account.capacity_left(QUEUE_SHARE, grace and GRACE_SHARE * grace)
+        time_left = before_drain + DRAIN_GRACE_SHARE * self._drain_grace - now
+        if time_left <= 0:
+            return -account.in_flight
+        return account.capacity_left(MANDATORY_QUEUE_SHARE, time_left)
--- a/granitespool/planner/exclusion.py
+++ b/granitespool/planner/exclusion.py
@@ -80,6 +80,17 @@
             changes = [change for change in changes if not change.excluded]
         self._order(now, changes)
 
+    def outstanding_since(self) -> int | None:
+        """Return when the first backend drained that unassigned proxies may still use (ns), or None."""
+        return min(
+            (
+                backend.left_ready_at
+                for backend in self._dirty.absent
+                if backend.phase != READY and backend.exclusion != Exclusion.EXCLUDED
+            ),
+            default=None,
+        )
+
     def _longest_wait(self, now: int) -> int:
         """Return the longest wait (ns) of an unassigned proxy that was sent no exclusions."""
         return max(
--- a/granitespool/planner/publication.py
+++ b/granitespool/planner/publication.py
@@ -114,8 +114,7 @@
             self._publish_exclusions(current.now)
         candidates = self._selection.select(current.now, current.only)
         if candidates and candidates[0].is_mandatory:
-            # Proxies that have waited since before the oldest drain are assigned before it is published
-            self._assignment.assign_next(current.now, candidates[0].due_since)
+            self._assign_before(current.now, candidates[0].due_since)
         if candidates:
             self._set_limits(current, candidates)
         for candidate in candidates:
@@ -130,6 +129,15 @@
     def _publish_exclusions(self, now: int) -> None:
         self._exclusion.publish(now, self._admission.entries_max)
 
+    def _assign_before(self, now: int, drained_at: int) -> None:
+        """Assign proxies that may still use a backend which drained before the oldest drain to be published.
+
+        They are due first. All others are due no earlier than the drain, and assigning them would delay it.
+        """
+        outstanding_since = self._exclusion.outstanding_since()
+        if outstanding_since is not None and outstanding_since < drained_at:
+            self._assignment.assign_next(now, drained_at)
+
     def _set_limits(self, current: PublicationPass, candidates: list[Candidate]) -> None:
         """Set the limits of a pass from the capacity of the channel and the mandatory updates."""
         account = self._budget.account
--- a/tests/planner/test_silent_proxies.py
+++ b/tests/planner/test_silent_proxies.py
@@ -1,10 +1,9 @@
 """Proxies that go silent while their streams stay open must not delay what the other proxies are sent."""
 
-from collections import defaultdict, deque
-
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from support.drain_observer import DrainObserver
 from support.proxy_fleet import ProxyFleet
 
 from granitespool.planner.events import ProxyLeft
@@ -20,46 +19,6 @@
 SILENCE_TIMEOUT = 9  # s after which a silent proxy is reported as unreachable
 
 
-class DrainObserver(ProxyFleet):
-    """A fleet whose proxies apply messages as they arrive; records who uses a drained backend too late."""
-
-    def __init__(self, *arguments, **settings):
-        self.written = defaultdict(deque)  # proxy -> messages that have not arrived, oldest first
-        self.weights = defaultdict(dict)  # proxy -> backend -> weight, as applied
-        self.excluded = defaultdict(set)
-        self.drained_at = {}  # backend -> ns
-        self.late = set()  # proxy, backend
-        super().__init__(*arguments, **settings)
-
-    def on_written(self, proxy, message, size):
-        self.written[proxy].append(message)
-
-    def on_arrived(self, proxy):
-        message = self.written[proxy].popleft()
-        if proxy in self.silent:
-            return
-        for table in message.tables:
-            if table.complete:
-                self.weights[proxy].clear()
-            self.weights[proxy].update(table.entries)
-        self.excluded[proxy].update(message.excluded)
-        self.excluded[proxy].difference_update(message.readmitted)
-
-    def drain(self, count):
-        for backend in self.ready[:count]:
-            self.drained_at[backend] = self.now
-        self.replace_backends(count)
-
-    def turn(self, *arguments):
-        super().turn(*arguments)
-        overdue = {
-            name for name, since in self.drained_at.items() if self.now > since + self.settings.drain_grace
-        }
-        for proxy in self.joined.keys() - self.silent:
-            used = {name for name, weight in self.weights[proxy].items() if weight} - self.excluded[proxy]
-            self.late |= {(proxy, name) for name in used & overdue}
-
-
 def make_fleet(entries_per_s, backlog_limit):
     return DrainObserver(
         BACKENDS,
--- a/tests/reference/planner.py
+++ b/tests/reference/planner.py
@@ -1,8 +1,9 @@
 """The planner from before it evaluated only changes: the reference of planner/test_dirty_set.py.
 
 It evaluates every backend, zone and table at each flush. It is unchanged, apart from intended changes of
-behaviour that were made in both planners: joining proxies are assigned within a third of the grace and before
-newer drains, and admission levels are sent by groups of classes, for tables that have users.
+behaviour that were made in both planners: joining proxies are assigned within a third of the grace, and
+before a drain, for at most half of the grace, if they may still use a backend that drained earlier; and
+admission levels are sent by groups of classes, for tables that have users.
 
 One Planner makes all decisions of a coordinator. It is created when the coordinator starts; one method is
 called for each event, with the clock in whole nanoseconds, and it acts by calling the host at once.
@@ -469,7 +470,7 @@
         for urgency, rank, _, table, _, _ in moves:  # a table's entries go together: one header
             brings[table] += urgency and rank
         moves.sort(key=lambda move: (move[0], move[0] and brings[move[3]], move))
-        if moves and not moves[0][0]:  # a proxy that joined before the oldest drain goes first
+        if moves and not moves[0][0] and self._outstanding(moves[0][1][0]):
             self._bind_next(now, moves[0][1][0])
         few = len(self.proxies) // FEW if self.channel.room(1, PERIOD // 4) > 0 else 0
         rule = sum(len(self.users[move[3]]) for move in moves if not move[0])
@@ -584,26 +585,32 @@
             share = NO_LIMIT if self.settings.get("admission") == "per_second" else share
             self._order(now, self.users[table], self.host.level, table, classes, share, retries)
 
+    def _outstanding(self, drain):
+        """Whether proxies may still use a backend that drained earlier: they are due before this drain."""
+        old = [rec for rec in self.backends.values() if rec.phase != "ready" and rec.gone_at < drain]
+        return not all(rec.sent.get("out") for rec in old)
+
     def _bind_next(self, now, drain=None):
         """Assign joining proxies as there is room: the longest waiting first, then those with most traffic.
 
         Before a drain is sent, only those that have waited long and since before it: they are due first.
         """
-        if self.short or not self.unbound or self._bind_room(drain) < 0:
+        if self.short or not self.unbound or self._bind_room(now, drain) < 0:
             return  # called at each acknowledgement: does not visit all proxies if none could be assigned
         soon = now - self.settings.get("drain_grace", SECOND) / 3  # an old table may contain unlisted servers
         order = {p: (min(since, soon), -self.proxies[p][1]) for p, (_, since) in self.unbound.items()}
         due = [p for p, (since, _) in order.items() if drain is None or since < min(drain, soon)]
         all(self._bind(now, proxy, drain) for proxy in sorted(due, key=order.get))
 
-    def _bind_room(self, drain):
+    def _bind_room(self, now, drain):
         grace = self.settings.get("drain_grace")
         if drain is None:
             return self.channel.room(BIND_PART, grace and BIND_TIME * grace)
-        return self.channel.room(RULE_PART, IN_TIME * (grace or SECOND))
+        left = drain + IN_TIME * self.settings.get("drain_grace", SECOND) - now
+        return self.channel.room(RULE_PART, left) if left > 0 else -self.channel.waiting
 
     def _bind(self, now, proxy, drain=None):
-        table, room = self.proxies[proxy][0], self._bind_room(drain)
+        table, room = self.proxies[proxy][0], self._bind_room(now, drain)
         cost = (
             1
             + self.lines[table]
