Publish the drains of a table together, one message to each proxy

Cause: a mandatory update was published as soon as it fitted by itself. Of two drains of a table the first took the room that both would have had a moment later, and the second paid the message's header again. Five drains to 240 proxies cost up to 4,400 entries, where 2,160 are enough.

Ruled out: a slow channel (empty), the list (taken at once), assignments (all proxies had their tables), the release of messages to silent proxies (as meant).

Change: the mandatory updates of a table wait for each other, as long as the queue can hold them together once it has sent what is in flight; messages that the channel has passed and silent proxies don't acknowledge count against that. The same in the reference planner. Why it works: the header is paid once, and the wait ends when the room is there or is known not to come.

--- a/granitespool/planner/in_flight.py
+++ b/granitespool/planner/in_flight.py
@@ -119,6 +119,15 @@
             capacity = max(capacity, EMPTY_QUEUE_SHARE * self.limit)
         return capacity - self.in_flight
 
+    def unacknowledged(self, now: int) -> float:
+        """Return the entries in flight that the channel has passed: those of messages to silent proxies."""
+        passed_before = now - TRANSIT_TIME
+        return sum(
+            sum(batch.entries.values())
+            for batch in self._batches.values()
+            if batch.passed_at is not None and batch.passed_at <= passed_before
+        )
+
     def time_to_send(self, entries: float) -> float:
         """Return the time (ns) to send these entries after those in flight, at the configured rate."""
         return (self.in_flight + entries) / self.rate * SECOND
--- a/granitespool/planner/publication.py
+++ b/granitespool/planner/publication.py
@@ -5,6 +5,8 @@
 those that the channel has capacity for, in order of priority, and schedules another pass if any was deferred.
 """
 
+from collections import Counter
+
 from granitespool.planner.actions import PlannerActions
 from granitespool.planner.admission import AdmissionControl
 from granitespool.planner.assignment import ProxyAssignment
@@ -44,6 +46,8 @@
         self.is_merging = is_merging  # its updates join messages of this turn, without further headers
         self.is_deferring = is_deferring  # updates that are not mandatory wait for the next complete pass
         self.updated_tables: set[int] = set()  # tables that this pass has published updates of
+        self.mandatory_counts: Counter[int] = Counter()  # table -> number of its mandatory updates
+        self.mandatory_entries_max = 0.0  # entries that fit once the queue has sent what is in flight
         self.few_subscribers = 0  # a table with at most this many gets urgent updates also while deferring
         self.queue_share = 0.0  # share of the queue that updates may fill, unless mandatory
         self.is_congested = False  # the mandatory updates exceed the capacity, mostly with headers
@@ -149,11 +153,13 @@
             current.queue_share = JOINING_QUEUE_SHARE
         else:
             current.queue_share = ORDINARY_QUEUE_SHARE
+        current.mandatory_counts.update(candidate.table for candidate in candidates if candidate.is_mandatory)
         mandatory_entries = sum(
-            len(self._tables.subscribers[candidate.table])
-            for candidate in candidates
-            if candidate.is_mandatory
+            len(self._tables.subscribers[table]) * count for table, count in current.mandatory_counts.items()
         )
+        if mandatory_entries:
+            unacknowledged = account.unacknowledged(current.now)
+            current.mandatory_entries_max = MANDATORY_QUEUE_SHARE * account.limit - unacknowledged
         current.is_congested = (
             account.capacity_left(MANDATORY_QUEUE_SHARE) < mandatory_entries / 2
             and account.capacity_left(ORDINARY_QUEUE_SHARE) < 0
@@ -166,7 +172,8 @@
         if self._is_deferred(current, candidate):
             current.has_deferred = True
             return
-        if cost > max(0, self._capacity_for(current, candidate)) or self._exceeds_tokens(candidate, cost):
+        required = max(cost, self._entries_sent_together(current, candidate))
+        if required > max(0, self._capacity_for(current, candidate)) or self._exceeds_tokens(candidate, cost):
             if candidate.is_mandatory:
                 self._budget.is_mandatory_waiting = True
             if self._budget.tokens > cost and not self._assignment.unassigned:
@@ -191,6 +198,18 @@
             per_subscriber += self._budget.account.header
         return readmitted + len(self._tables.subscribers[candidate.table]) * per_subscriber
 
+    def _entries_sent_together(self, current: PublicationPass, candidate: Candidate) -> float:
+        """Return the entries of the mandatory updates that wait for each other, if the queue can hold them.
+
+        Those of a table share a message to each subscriber. Published one by one, as soon as each fits, they
+        would cost a header each and delay the last one.
+        """
+        if not candidate.is_mandatory or candidate.table in current.updated_tables:
+            return 0
+        subscribers = len(self._tables.subscribers[candidate.table])
+        entries = subscribers * (self._budget.account.header + current.mandatory_counts[candidate.table])
+        return entries if entries <= current.mandatory_entries_max else 0
+
     def _is_deferred(self, current: PublicationPass, candidate: Candidate) -> bool:
         """Return whether a candidate waits for the next complete pass.
 
--- a/tests/reference/channel.py
+++ b/tests/reference/channel.py
@@ -147,6 +147,11 @@
             for proxy in list(turn.lines):
                 self._take(proxy)
 
+    def unanswered(self, now):
+        """Return the entries of messages that the channel has sent and that silent proxies do not answer."""
+        turns = [turn for turn in self.turns.values() if turn.passed is not None]
+        return sum(sum(turn.lines.values()) for turn in turns if turn.passed <= now - WAY)
+
     def left(self, proxy):
         while proxy in self.held:
             self._take(proxy)
--- a/tests/reference/planner.py
+++ b/tests/reference/planner.py
@@ -2,8 +2,9 @@
 
 It evaluates every backend, zone and table at each flush. It is unchanged, apart from intended changes of
 behaviour that were made in both planners: joining proxies are assigned within a third of the grace, and
-before a drain, for at most half of the grace, if they may still use a backend that drained earlier; and
-admission levels are sent by groups of classes, for tables that have users.
+before a drain, for at most half of the grace, if they may still use a backend that drained earlier; the
+mandatory entries of a table wait for each other; and admission levels are sent by groups of classes, for
+tables that have users.
 
 One Planner makes all decisions of a coordinator. It is created when the coordinator starts; one method is
 called for each event, with the clock in whole nanoseconds, and it acts by calling the host at once.
@@ -473,7 +474,9 @@
         if moves and not moves[0][0] and self._outstanding(moves[0][1][0]):
             self._bind_next(now, moves[0][1][0])
         few = len(self.proxies) // FEW if self.channel.room(1, PERIOD // 4) > 0 else 0
-        rule = sum(len(self.users[move[3]]) for move in moves if not move[0])
+        rules = Counter(move[3] for move in moves if not move[0])
+        rule = sum(len(self.users[table]) * number for table, number in rules.items())
+        most = rule and RULE_PART * self.channel.limit - self.channel.unanswered(now)
         # An unassigned proxy prolongs an overload with another table: moves yield. Drawback: weights do not
         # change.
         part = 0 if self.short else JOIN_PART if self.unbound else 0.5
@@ -487,7 +490,11 @@
                 self.later = True  # an alarm to few proxies needs no gap if the queue is empty
                 continue
             room = self.channel.room(part, AHEAD) if urgency else self.channel.room(RULE_PART * (not crowded))
-            if cost > max(0, room) or (ordinary and cost > self.credit):
+            # The mandatory entries of a table wait for each other, if they can ever fit: one header
+            together = len(users) * (self.channel.head + rules[table])
+            if urgency or table in touched or together > most:
+                together = 0
+            if max(cost, together) > max(0, room) or (ordinary and cost > self.credit):
                 self.short = self.short or not urgency  # nothing else may use freed room until this fits
                 left = 4 if self.credit > cost and not self.unbound else left
                 continue
