Keep an incomplete exclusion when its drain is no longer recent

Proxies that wait for their tables could be sent `back` for a backend that still drains.

Cause: `ExclusionControl._should_exclude` kept a complete exclusion whatever its age, but an incomplete one (newcomers lack it) was not wanted any more once the drain was two graces old. If the channel was full until then, the next pass readmitted the backend at the proxies that had it excluded.

Evidence: the actions of a planner on a clock that stands: `exclude a`, newcomers, a full channel until the drain is two graces old, `readmit a` in the next pass. Ruled out: the list (draining throughout), health checks and ejections (they change no exclusion).

Change: an exclusion that some proxies have stays until the backend is ready or no proxy waits; the same in the reference planner.

--- a/granitespool/planner/exclusion.py
+++ b/granitespool/planner/exclusion.py
@@ -134,7 +134,7 @@
     def _should_exclude(self, backend: Backend, is_recent: bool, is_late: bool) -> bool:
         if not self._assignment.unassigned or backend.phase == READY:
             return False
-        if backend.exclusion == Exclusion.EXCLUDED:
+        if backend.exclusion.is_active:
             return True
         return is_recent and (is_late or backend.exclusion != Exclusion.NEVER)
 
--- a/tests/reference/planner.py
+++ b/tests/reference/planner.py
@@ -560,7 +560,7 @@
             out, recent = rec.sent.get("out", False), now - rec.gone_at < KEPT * grace
             if out and recent and waits >= TOGETHER * grace:
                 out = rec.sent["out"] = None  # not sent to all
-            want = (recent and (late or "out" in rec.sent)) or out
+            want = (recent and (late or "out" in rec.sent)) or out is not False
             want = bool(want and self.unbound and rec.phase != "ready")
             if out != want and not any(weight for table, weight in rec.sent.items() if table != "out"):
                 turned.append((rec, want))
