--- a/granitespool/planner/exclusion.py
+++ b/granitespool/planner/exclusion.py
@@ -21,7 +21,8 @@
 GRACE_SHARE = 0.5  # share of the drain grace: proxies that get their table within it need no exclusions
 # Share of the drain grace that exclusions wait, so that one reaches many joining proxies
 COLLECT_GRACE_SHARE = 1 / 6
-# Drain graces after which a drain needs no exclusion: the proxies' former coordinator has removed the backend
+# Drain graces in which a drain is recent. A proxy that joins has mostly been told of an earlier one by its
+# former coordinator, unless it has reached none since: earlier drains are excluded after recent ones.
 RECENT_DRAIN_GRACES = 2
 SMALL_QUEUE_SHARE = 0.25  # with less of the queue in flight, a few exclusions are worth their headers
 
@@ -31,6 +32,7 @@
 
     backend: Backend
     excluded: bool
+    is_required: bool  # assignments wait for it; False for the exclusion of a drain that is not recent
 
 
 class ExclusionControl:
@@ -76,9 +78,7 @@
             self.settings.drain_grace or 0
         )
         changes = self._pending_changes(now, waiting_time, is_late)
-        if self._costs_more_than(changes, assignment_cost):
-            changes = [change for change in changes if not change.excluded]
-        self._order(now, changes)
+        self._order(now, self._affordable(changes, assignment_cost))
 
     def outstanding_since(self) -> int | None:
         """Return when the first backend drained that unassigned proxies may still use (ns), or None."""
@@ -112,7 +112,10 @@
         )
 
     def _pending_changes(self, now: int, waiting_time: int, is_late: bool) -> list[ExclusionChange]:
-        """Return the changes by urgency: the longest pending first, and of those the latest drain first."""
+        """Return the changes by urgency: the longest pending first, and of those the latest drain first.
+
+        Drains that are not recent come last.
+        """
         changes = []
         by_urgency = sorted(
             self._dirty.absent_in_sequence(),
@@ -123,20 +126,21 @@
                 del self._dirty.absent[backend]
                 continue
             is_recent = now - backend.left_ready_at < RECENT_DRAIN_GRACES * self._drain_grace
-            was_excluded = backend.exclusion.is_active
-            if was_excluded and is_recent and waiting_time >= COLLECT_GRACE_SHARE * self._drain_grace:
+            has_new_users = waiting_time >= COLLECT_GRACE_SHARE * self._drain_grace
+            if backend.exclusion.is_active and has_new_users and (is_recent or is_late):
                 backend.exclusion = Exclusion.PARTIAL
             excluded = self._should_exclude(backend, is_recent, is_late)
-            if not self._is_in_state(backend, excluded) and not backend.is_in_tables:
-                changes.append(ExclusionChange(backend, excluded))
-        return changes
+            if self._is_in_state(backend, excluded) or backend.is_in_tables:
+                continue
+            changes.append(ExclusionChange(backend, excluded, is_required=is_recent or not excluded))
+        return sorted(changes, key=lambda change: not change.is_required)
 
     def _should_exclude(self, backend: Backend, is_recent: bool, is_late: bool) -> bool:
         if not self._assignment.unassigned or backend.phase == READY:
             return False
         if backend.exclusion.is_active:
             return True
-        return is_recent and (is_late or backend.exclusion != Exclusion.NEVER)
+        return is_late or (is_recent and backend.exclusion != Exclusion.NEVER)
 
     @staticmethod
     def _is_in_state(backend: Backend, excluded: bool) -> bool:
@@ -149,24 +153,38 @@
             change.backend.name, change.excluded, self._assignment.unassigned, len(self._fleet.backends)
         )
 
-    def _costs_more_than(self, changes: list[ExclusionChange], assignment_cost: float) -> bool:
-        """Return whether exclusions cost more than assigning all proxies, which makes them unnecessary."""
+    def _affordable(self, changes: list[ExclusionChange], assignment_cost: float) -> list[ExclusionChange]:
+        """Return the changes without exclusions that would cost more than assigning all proxies.
+
+        Required exclusions are returned all or not at all, others as far as the cost allows.
+        """
         exclusions = [change for change in changes if change.excluded]
-        cost_per_exclusion = sum(self._cost_of(exclusions[0]).values()) if exclusions else 0
+        if not exclusions:
+            return changes
+        cost_per_exclusion = sum(self._cost_of(exclusions[0]).values())
         headers = self._budget.account.header * min(cost_per_exclusion, len(self._assignment.unassigned))
-        return cost_per_exclusion * len(exclusions) + headers > assignment_cost
+        required = sum(change.is_required for change in exclusions)
+        if cost_per_exclusion * required + headers > assignment_cost:
+            return [change for change in changes if not change.excluded]
+        optional = len(exclusions) - required
+        if cost_per_exclusion:
+            affordable = int((assignment_cost - headers) / cost_per_exclusion)
+            optional = min(optional, max(0, affordable - required))
+        return changes[: len(changes) - len(exclusions) + required + optional]
 
     def _order(self, now: int, changes: list[ExclusionChange]) -> None:
         fitting = self._budget.account.fitting(map(self._cost_of, changes), MANDATORY_QUEUE_SHARE)
         count = fitting.order_count
-        if count < len(changes):
+        required = sum(change.is_required for change in changes)
+        if count < required:
             self._budget.is_mandatory_waiting = True
-        if count * 2 < len(changes) and self._budget.account.capacity_left(SMALL_QUEUE_SHARE) <= 0:
+        is_split = count * 2 < (required or len(changes))
+        if is_split and self._budget.account.capacity_left(SMALL_QUEUE_SHARE) <= 0:
             return  # headers would be most of the cost
         ordered = changes[:count]
-        for backend, excluded in ordered:
-            backend.exclusion = Exclusion.EXCLUDED if excluded else Exclusion.READMITTED
-            self._actions.exclude(backend.name, excluded)
+        for change in ordered:
+            change.backend.exclusion = Exclusion.EXCLUDED if change.excluded else Exclusion.READMITTED
+            self._actions.exclude(change.backend.name, change.excluded)
         if ordered:
             for proxy, entries in fitting.entries.items():
                 self._outbox.reserve(now, proxy, entries, EntryKind.EXCLUSION)
