Bound a turn of the loop and share its time fairly among ready coroutines

While 20 collectors send reports without a pause, the `pong` of a quiet proxy takes 725 ms in the median.

Cause: nothing bounded a turn. `Loop.turn` resumed each ready coroutine, and each of them read and handled up to 256 KiB, so a quiet peer waited for what all others had sent; `Discovery` handled all lines and chunks of a read at once.

Evidence: a trial that printed each step over 50 ms: steps of `Streams._serve` and the turns they were in. Ruled out by it: the planner, the log and the writes at the end of a turn, none of which was over 50 ms.

Change: a turn resumes coroutines for 20 ms and leaves the others to the next turns by weighted fair queueing (net/fair_share.py); a coroutine with more to do waits after 1 ms; one whose deadline passes while it is deferred is resumed with its events. Why it works: a peer waits for its own share and not for the sum of all others. Without load nothing is deferred and the order is that of before.

--- a/granitespool/net/discovery.py
+++ b/granitespool/net/discovery.py
@@ -17,7 +17,7 @@
 from granitespool.fields import required_field, required_number
 from granitespool.net.client import dial, http_get, receive
 from granitespool.net.config import Address, WatchConfiguration, parse_address
-from granitespool.net.loop import SECOND, Coroutine, Loop
+from granitespool.net.loop import OUT, SECOND, Coroutine, Loop
 from granitespool.planner.events import EndpointListUpdate, ListForm
 from granitespool.units import MILLISECOND
 
@@ -219,6 +219,7 @@
         partial_line = b""
         line_deadline = self.loop.now + LINE_TIMEOUT
         while True:
+            yield from self._let_others_run(sock)
             event = http.next_event()
             if event is h11.NEED_DATA:
                 if self.loop.now >= line_deadline:
@@ -235,10 +236,16 @@
                     line_deadline = self.loop.now + LINE_TIMEOUT
                 for line in filter(bytes.strip, lines):
                     self._handle_line(line)
+                    yield from self._let_others_run(sock)
                 self._check_watch(partial_line)
             elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                 raise WatchEndedError("discovery closed the watch")
 
+    def _let_others_run(self, sock: socket.socket) -> Coroutine:
+        """Wait until the next turn if the watch has used its share of this one."""
+        if self.loop.is_share_used:
+            yield sock.fileno(), OUT, self.loop.now + HEARTBEAT_TIMEOUT
+
     def _check_watch(self, partial_line: bytes) -> None:
         """Raise WatchEndedError if the line is too long or invalid entries have to be requested again."""
         if len(partial_line) > LINE_MAX:
--- a/granitespool/net/loop.py
+++ b/granitespool/net/loop.py
@@ -3,7 +3,11 @@
 A coroutine yields `(fd, events, deadline)` to wait. The deadline is a time of the loop's clock in ns, or None
 for no deadline. If `fd` is None, the coroutine waits only for the deadline. The loop resumes the coroutine
 with the events that occurred, or with 0 if the deadline has passed. Another coroutine may also resume it with
-0. One turn resumes all coroutines that are ready, with the same `now`, and then calls `end_of_turn`.
+0. One turn resumes the coroutines that are ready, with the same `now`, and then calls `end_of_turn`.
+
+A turn is bounded. After `TURN_TIME_MAX` it leaves the other ready coroutines to the next turns, in which
+those are first that have used little time (`fair_share`). A coroutine that has more to do than
+`RESUME_TIME_MAX` allows waits in between (`is_share_used`).
 
 A coroutine owns its descriptor and closes the descriptor in its own `finally`. Before the coroutine opens
 another descriptor, it waits once with `fd` None.
@@ -21,7 +25,8 @@
 from contextlib import suppress
 from dataclasses import dataclass
 
-from granitespool.units import SECOND
+from granitespool.net.fair_share import FairShare
+from granitespool.units import MILLISECOND, SECOND
 
 __all__ = ["IN", "OUT", "SECOND", "Coroutine", "Loop", "Task", "Wait"]
 
@@ -30,10 +35,15 @@
 # Events that one poll may return in addition to one event for each watched descriptor. The number of watched
 # descriptors is not limited.
 SPARE_EVENTS = 64
+# ns of one turn in which ready coroutines are resumed
+TURN_TIME_MAX = 20 * MILLISECOND
+RESUME_TIME_MAX = MILLISECOND  # ns that a coroutine should take from one wait to the next
 IDLE_WAIT_MAX = 60 * SECOND  # ns, the longest wait; it only limits the argument of the system call
 
 Wait = tuple[int | None, int, int | None]  # descriptor, events, deadline in ns
 Coroutine = Generator[Wait, int, None]
+Ready = dict["Task", tuple[int | None, int]]  # task -> descriptor and its events
+NOT_READY = None, 0  # stands for the descriptor and the events of a task that is not ready
 # Called with the time of the turn; returns the latest time of the next turn or None. Both times are in ns.
 EndOfTurn = Callable[[int], int | None]
 
@@ -66,6 +76,9 @@
         self.watching: dict[int, Task] = {}  # the waiting task by its descriptor
         self.timers: list[tuple[int, int, Task]] = []  # a heap of (deadline in ns, timer number, task)
         self.timer_count = 0
+        self.deferred: Ready = {}  # ready tasks that the last turn did not resume
+        self.fair_share: FairShare[Task] = FairShare()
+        self.resumed_at = 0  # ns, when the running coroutine was resumed
         self.tasks: set[Task] = set()
         self.is_stopped = False
         self.clock = clock or _unix_clock()
@@ -110,14 +123,15 @@
 
     def turn(self, end_of_turn: EndOfTurn, wait: int) -> None:
         """Run one turn: wait at most `wait` ns for events, resume the ready coroutines, end the turn."""
-        for task, fd, events in self._poll(wait):
-            if task and self.watching.get(fd) is task:
-                self._advance(task, events)
-            elif fd == self.wake_fd:
-                os.eventfd_read(self.wake_fd)
+        self._resume_ready(self._poll(wait))
         self._run_timers()
         self.next_due = end_of_turn(self.now)
 
+    @property
+    def is_share_used(self) -> bool:
+        """Whether the running coroutine should wait before it does more work."""
+        return self.clock() - self.resumed_at >= RESUME_TIME_MAX
+
     def end(self, task: Task) -> None:
         """End a coroutine; the coroutine releases its resources in its own `finally`."""
         self._remove(task)
@@ -136,8 +150,27 @@
             if wake_fd is not None:
                 os.close(wake_fd)
 
-    def _poll(self, wait: int) -> list[tuple[Task | None, int, int]]:
-        """Wait for events, set `now`, and return (task, descriptor, events) for each ready descriptor.
+    def _resume_ready(self, ready: Ready) -> None:
+        """Resume ready tasks until `TURN_TIME_MAX` is used up, and defer the others."""
+        is_overloaded = bool(self.deferred)
+        order = self.fair_share.order(ready, self.deferred) if is_overloaded else list(ready)
+        self.deferred = ready
+        turn_ends_at = self.clock() + TURN_TIME_MAX
+        for task in order:
+            fd, events = self.deferred.pop(task, NOT_READY)
+            if fd is None or self.watching.get(fd) is not task:
+                continue  # another coroutine has ended it or made it wait for something else
+            began_at = self.clock()
+            self._advance(task, events)
+            if is_overloaded and task in self.tasks:
+                self.fair_share.record(task, self.clock() - began_at)
+            if self.clock() >= turn_ends_at:
+                break
+        if not self.deferred:
+            self.fair_share.clear()
+
+    def _poll(self, wait: int) -> Ready:
+        """Wait for events, set `now`, and return the descriptor and the events of each ready task.
 
         All tasks are looked up before any coroutine runs. A coroutine may close a descriptor, and another
         coroutine may then open a descriptor with the same number.
@@ -152,7 +185,13 @@
             # returns all events up to now, and the events are handled before the timers. The second poll
             # costs a system call if a timer is due.
             found = self.epoll.poll(0, limit)
-        return [(self.watching.get(fd), fd, events) for fd, events in found]
+        ready: Ready = {}
+        for fd, events in found:
+            if fd in self.watching:
+                ready[self.watching[fd]] = fd, events
+            elif fd == self.wake_fd:
+                os.eventfd_read(self.wake_fd)
+        return ready
 
     def _is_timer_due(self) -> bool:
         return bool(self.timers) and self.timers[0][0] <= self.now
@@ -162,12 +201,15 @@
             _, number, task = heapq.heappop(self.timers)
             if task.timer_number == number:
                 task.deadline = None
-                self._advance(task, 0)
+                # The events of a deferred task have occurred before its deadline
+                _, events = self.deferred.pop(task, NOT_READY)
+                self._advance(task, events)
 
     def _advance(self, task: Task, events: int | None) -> None:
         """Run a coroutine to its next wait; `events` is None at its start."""
         if task not in self.tasks:
             return
+        self.resumed_at = self.clock()
         try:
             if events is None:
                 fd, awaited_events, deadline = next(task.coroutine)
@@ -217,6 +259,8 @@
     def _remove(self, task: Task) -> None:
         self._unwatch(task)
         self.tasks.discard(task)
+        self.deferred.pop(task, None)
+        self.fair_share.remove(task)
 
 
 def _unix_clock() -> Callable[[], int]:
--- a/granitespool/net/streams.py
+++ b/granitespool/net/streams.py
@@ -191,6 +191,8 @@
         """Read and handle received messages; return False if the peer has closed its side."""
         reader, total = connection.reader, 0
         while total < READ_PER_TURN:
+            if total and self.loop.is_share_used:
+                break
             view = self._receive_buffer(connection)
             try:
                 size = connection.sock.recv_into(view)
