Parse one large message in a turn, after all small ones

Cause: a large message was parsed wherever it became complete, up to 0.1 s each.

Ruled out: reading (cheap), the planner and the log (no end of a turn over 50 ms).

Change: a message over 64 KiB waits for the end of a turn, one is parsed there, the longest waiting first, and its connection is not read meanwhile. Why it works: small messages of a turn never wait for more than one large one.

--- a/granitespool/net/frames.py
+++ b/granitespool/net/frames.py
@@ -5,7 +5,7 @@
 """
 
 import json
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import orjson
@@ -15,6 +15,8 @@
 from granitespool.outgoing import LevelUpdate, ProxyUpdate, TableUpdate
 
 MESSAGE_MAX = 1 << 20  # bytes of a message, limited by the protocol
+# Bytes. A longer message takes noticeable time to parse, and none that peers have to send is as long.
+LARGE_MESSAGE = 64 * 1024
 PARTS_MAX = 64  # parts of a message, limited by the protocol
 # Entries in one part of a message. If no entry exceeds 500 bytes, a part stays below `MESSAGE_MAX`.
 ENTRIES_PER_PART = 2048
@@ -74,14 +76,20 @@
         self.buffers[-1] = (buffer, filled + size)
         self.available += size
 
-    def messages(self) -> Iterator[Message]:
-        """Yield and remove the complete messages; raise InvalidInputError if a frame is invalid."""
+    def messages(self, may_parse_large: Callable[[], bool] = lambda: True) -> Iterator[Message]:
+        """Yield and remove the complete messages; raise InvalidInputError if a frame is invalid.
+
+        `may_parse_large` is called for each message over `LARGE_MESSAGE`. If it returns False, the message
+        and all that follow stay in the buffers.
+        """
         while self.available >= LENGTH_SIZE:
             size = int.from_bytes(self._peek(LENGTH_SIZE), "little")
             if size > self.message_max:
                 raise InvalidInputError(f"a message of {size} bytes is over the limit")
             if self.available < LENGTH_SIZE + size:
                 return
+            if size > LARGE_MESSAGE and not may_parse_large():
+                return
             self._skip(LENGTH_SIZE)
             body = self._peek(size)
             self._skip(size)
--- a/granitespool/net/service.py
+++ b/granitespool/net/service.py
@@ -189,7 +189,10 @@
             self._run_guarded(self._reload)
         if self.management:
             self._run_guarded(self.management.end_of_turn, now)
+        has_large_messages = self.streams.parse_large_message()
         due: int | None = self.coordinator.tick(now)
+        if has_large_messages:
+            due = now
         if self.management and (management_due := self.management.next_deadline()) is not None:
             due = management_due if due is None else min(due, management_due)
         for recipient in self.coordinator.recipients():
--- a/granitespool/net/streams.py
+++ b/granitespool/net/streams.py
@@ -65,6 +65,8 @@
         self.dispatcher = Dispatcher(loop, coordinator, log, self.membership, self.names)
         self.accepted_count = 0  # number of connections accepted so far
         self.finishing = False  # whether all connections have to end
+        self.large_waiting: dict[Connection, None] = {}  # hold a large message, the longest waiting first
+        self.may_parse_large: Connection | None = None  # may parse its large message now
         self.reconfigure(config)
         self.acceptor = Acceptor(loop, log, self.admission, config["listen"], self._open)
 
@@ -123,6 +125,19 @@
             connection.awaiting_since = self.loop.now
         self.loop.resume(connection.running_task)  # the coroutine then waits with the new events and deadline
 
+    def parse_large_message(self) -> bool:
+        """Let the connection that has waited longest parse its large message; return whether others wait.
+
+        Called once in each turn, after all small messages: parsing a large one takes up to 0.1 s.
+        """
+        if self.large_waiting:
+            connection = next(iter(self.large_waiting))
+            del self.large_waiting[connection]
+            self.may_parse_large = connection
+            self.loop.resume(connection.running_task)
+            self.may_parse_large = None
+        return bool(self.large_waiting)
+
     def finish(self) -> None:
         """Stop accepting connections, and close each connection once its unsent bytes are written."""
         self.loop.end(self.acceptor.task)
@@ -179,9 +194,11 @@
                     yield from connection.linger(self.loop)
                     return
                 deadline = self._deadline(connection)
-                mask = IN | (OUT if connection.unsent else 0)
+                mask = (0 if connection in self.large_waiting else IN) | (OUT if connection.unsent else 0)
                 events = yield connection.sock.fileno(), mask, deadline
-                if not events and deadline and self.loop.now >= deadline:
+                if self.may_parse_large is connection:
+                    self._handle_messages(connection)
+                elif not events and deadline and self.loop.now >= deadline:
                     self._handle_timeout(connection)
         self.membership.leave(connection)
         if connection.unsent:  # the peer may have shut down only its writing side, and may still read
@@ -190,7 +207,7 @@
     def _read(self, connection: Connection) -> bool:
         """Read and handle received messages; return False if the peer has closed its side."""
         reader, total = connection.reader, 0
-        while total < READ_PER_TURN:
+        while connection not in self.large_waiting and total < READ_PER_TURN:
             if total and self.loop.is_share_used:
                 break
             view = self._receive_buffer(connection)
@@ -207,10 +224,22 @@
             if connection.is_unreachable:
                 self.membership.mark_reachable(connection)
             reader.received(size)
-            for message in reader.messages():
-                self.dispatcher.handle(connection, message)
+            self._handle_messages(connection)
         return True
 
+    def _handle_messages(self, connection: Connection) -> None:
+        """Handle the complete messages that were received, up to a large one that has to wait."""
+
+        def may_parse_large() -> bool:
+            if self.may_parse_large is connection:
+                self.may_parse_large = None
+                return True
+            self.large_waiting[connection] = None
+            return False
+
+        for message in connection.reader.messages(may_parse_large):
+            self.dispatcher.handle(connection, message)
+
     def _receive_buffer(self, connection: Connection) -> memoryview:
         """Return free space for received bytes; another connection may be evicted to free a buffer.
 
@@ -252,6 +281,7 @@
             yield from connection.linger(self.loop)
 
     def _close(self, connection: Connection) -> None:
+        self.large_waiting.pop(connection, None)
         self.admission.remove(connection)
         connection.close()
         self.membership.leave(connection)
