Take a receive buffer from the peer that holds most for one that holds none

Cause: with no free buffer the peer that needs one was disconnected if no pending connection and no collector could be evicted. Who was ended depended on who spoke next, and not on who held the buffers.

Ruled out: memory (95 of 192 MB), the limit on connections, the quiet proxy's message (19 bytes).

Change: for a peer that holds no buffer the connection with the most, at least four, is evicted, also the stream of a proxy. A peer that fills buffers itself is ended as before, so that the tests on that hold unchanged.

Measured: the new test fails before and passes now; in the same scene the quiet proxy keeps its stream.

--- a/granitespool/net/admission.py
+++ b/granitespool/net/admission.py
@@ -2,7 +2,8 @@
 
 The resources are connections, descriptors and receive buffers. This module owns the two registries (of open
 and of pending connections) and the connection limit. It never accepts, reads or writes. Pending connections
-are evicted first and collectors second, because collectors reconnect. The stream of a proxy is never evicted.
+are evicted first and collectors second, because collectors reconnect. The stream of a proxy is evicted only
+if it holds the most receive buffers, and a peer that holds none needs one.
 """
 
 from granitespool.errors import InvalidInputError
@@ -15,6 +16,8 @@
 PENDING_GRACE = SECOND // 20
 # Pending connections accepted beyond the connection limit. Their descriptors belong to `RESERVED_SOCKETS`.
 PENDING_RESERVE = 4
+# Receive buffers that only a message far larger than any that peers have to send fills
+LARGE_MESSAGE_BUFFERS = 4
 
 
 class Admission:
@@ -86,6 +89,27 @@
                 return True
         return False
 
+    def free_buffer_for(self, requester: Connection) -> bool:
+        """Evict a connection that holds a receive buffer; return whether a connection was evicted.
+
+        A requester without a buffer has sent little, so the connection that holds most is evicted for it,
+        even the stream of a proxy.
+        """
+        return (
+            self.evict_pending(requester, holds_buffer=True)
+            or (not requester.reader.buffers and self._evict_largest())
+            or self.evict_collector(requester, holds_buffer=True)
+        )
+
+    def _evict_largest(self) -> bool:
+        """Evict the connection with the most receive buffers, at least `LARGE_MESSAGE_BUFFERS`."""
+        largest = max(self.connections, key=lambda connection: len(connection.reader.buffers))
+        if len(largest.reader.buffers) < LARGE_MESSAGE_BUFFERS:
+            return False
+        largest.ended_by_coordinator = True
+        self._evict(largest)
+        return True
+
     def _evict(self, connection: Connection) -> None:
         self.log.rate_limited_event("evicted", peer=connection.peer, role=connection.role)
         self.loop.end(connection.running_task)
--- a/granitespool/net/streams.py
+++ b/granitespool/net/streams.py
@@ -246,10 +246,7 @@
         Raise InvalidInputError if no buffer can be freed.
         """
         view = connection.reader.free_space()
-        if view is None and (
-            self.admission.evict_pending(connection, holds_buffer=True)
-            or self.admission.evict_collector(connection, holds_buffer=True)
-        ):
+        if view is None and self.admission.free_buffer_for(connection):
             view = connection.reader.free_space()
         if view is None:
             connection.ended_by_coordinator = True
--- a/tests/service/test_service_fair_shares.py
+++ b/tests/service/test_service_fair_shares.py
@@ -78,6 +78,29 @@
     assert service.state.buffers_in_use <= 0
 
 
+# Guards against a proxy that is disconnected because half messages of other proxies hold all buffers
+def test_a_proxy_without_a_buffer_gets_one_of_the_peer_that_holds_most(
+    service: ServiceHarness, clients: ServiceClients, backends: BackendStandIns, log: ServiceLog
+) -> None:
+    service.limits.update(memory_mb=9)
+    backends.start("a")
+    for number, name in enumerate("pqs"):
+        clients.join(name, number)
+    clients.connect("c")
+    clients.send("c", messages.collector("n"))
+    log.wait_for('"collector_joined"')
+    clients.wait_for("s", "whole")
+    clients.send_all_but_last_byte("p", 1_048_576)
+    clients.send_all_but_last_byte("q", 300_000)
+    service.faults.limit_buffers(0)
+    clients.wait_for_heartbeat("s")
+    clients.wait_for_heartbeat("c")
+    clients.wait_for_end("p")
+    service.state.wait_for_joined(1, 2)
+    assert '"role":"collector"' not in log.text
+    assert "no buffer" not in log.text
+
+
 # Guards against peers that wait until all lines of a fast watch were handled
 def test_the_watch_handles_its_lines_over_several_turns_and_in_order(
     service: ServiceHarness,
