--- a/tests/test_gnmi.py
+++ b/tests/test_gnmi.py
@@ -11,7 +11,7 @@
 from google.protobuf import text_format
 from h2.config import H2Configuration
 from h2.connection import H2Connection
-from h2.events import ConnectionTerminated, DataReceived, ResponseReceived, StreamReset
+from h2.events import ConnectionTerminated, DataReceived, PingAckReceived, ResponseReceived, StreamReset
 from support.service_thread import ServiceThread, answers_ping, free_port, make_keys
 
 from granitespool.gnmi import gnmi_pb2 as pb
@@ -535,6 +535,23 @@
     proxy.close()
 
 
+# Guards against calls that are performed although their client cancelled them before they were begun
+def test_a_set_that_is_cancelled_before_it_was_begun_changes_nothing(server, keys_folder):
+    raw, before = RawHttp2Client(server, keys_folder), server.settings()["entries_per_s"]
+    value = pb.Update(path=path(LINES_PER_SECOND), val=pb.TypedValue(uint_val=600))
+    for _ in range(3):
+        stream = raw.call("Set")
+        raw.h2.send_data(stream, framed(pb.SetRequest(update=[value])), end_stream=True)
+        raw.h2.reset_stream(stream)
+    raw.flush()
+    raw.h2.ping(b"12345678")
+    raw.flush()
+    raw.wait_for_event(PingAckReceived)
+    time.sleep(0.2)
+    assert server.settings()["entries_per_s"] == before
+    assert server.client().set(update={LINES_PER_SECOND: "300"}) == "ok"
+
+
 @pytest.mark.parametrize(
     "data, code",
     [
--- a/tests/test_netconf.py
+++ b/tests/test_netconf.py
@@ -416,6 +416,30 @@
     assert reply_tag(watcher.lock()) == "ok" and reply_tag(watcher.lock("running")) == "ok"
 
 
+# Guards against requests that are performed after their session has ended, and against locks that outlive it
+@pytest.mark.parametrize("disconnect", ["reset", "close"])
+def test_requests_sent_at_once_before_a_close_are_done_in_order_and_none_after_the_end(server, disconnect):
+    watcher = server.manager()
+    before = server.settings()["entries_per_s"]
+    client = server.manager()
+    assert reply_tag(client.lock()) == "ok"
+    rates = [500.0 + number for number in range(7)]
+    for rate in rates:
+        config = f"<config>{settings_element(LINES_PER_SECOND.format(int(rate)))}</config>"
+        client.send(f"<edit-config><target><candidate/></target>{config}</edit-config>")
+        client.send("<commit/>")
+    getattr(client, disconnect)()
+    server.wait_for_log("manager_disconnected")
+    at_the_end = server.settings()["entries_per_s"]
+    assert at_the_end in [before, *rates]
+    assert reply_tag(watcher.lock()) == "ok"
+    assert watcher.config("candidate") == watcher.config("running")
+    assert reply_tag(watcher.edit(LINES_PER_SECOND.format("700"))) == "ok"
+    assert server.settings()["entries_per_s"] == at_the_end
+    assert reply_tag(watcher.commit()) == "ok"
+    assert server.settings()["entries_per_s"] == 700.0
+
+
 def test_a_confirmed_commit_is_undone_at_its_timeout_unless_another_session_confirms_its_persist_id(server):
     client, other_client = server.manager(), server.manager()
     client.edit(LINES_PER_SECOND.format("500"))
