Tests of drains build their fleets in one place

Cause: three new test files each built the same fleet and replaced backends alike. Change: observed_fleet, assigned_fleet and DrainObserver.replace in tests/support.

--- a/tests/planner/test_drains_together.py
+++ b/tests/planner/test_drains_together.py
@@ -1,47 +1,14 @@
 """The drains of a table are published together: one message to each subscriber, whatever their number."""
 
 import pytest
-from support.drain_observer import DrainObserver
+from support.drain_observer import assigned_fleet
 
 from granitespool.planner.in_flight import TRANSIT_TIME, InFlightAccount
 from granitespool.planner.outbox import EntryKind
 from granitespool.settings import Settings
 from granitespool.units import SECOND
 
-BACKENDS = 30
-ZONES = 3
 HEADER = 4  # entries of a message beside its own, with the barrier
-DRAIN_TIME = 5.3  # s from the drain of a backend to its end
-
-
-def assigned_fleet(proxies, entries_per_s, grace, full_queue_time=2):
-    """Return a fleet whose proxies all have their tables, and whose channel is empty."""
-    fleet = DrainObserver(
-        BACKENDS,
-        ZONES,
-        coordinators=2,
-        entries_per_s=entries_per_s,
-        backlog_limit=full_queue_time * entries_per_s,
-        messages_limit=30,
-        messages_span=10 * SECOND,
-        drain_grace=int(grace * SECOND),
-        proxies_expected=proxies,
-    )
-    for proxy in range(proxies):
-        fleet.join(proxy)
-    fleet.run(proxies * 45 / entries_per_s)
-    assert not fleet.coordinator.planner.assignment.unassigned
-    assert not fleet.channel
-    return fleet
-
-
-def replace(fleet, count, seconds):
-    """Replace `count` backends, and run for `seconds` in all."""
-    drained = fleet.ready[:count]
-    fleet.drain(count)
-    fleet.run(DRAIN_TIME)
-    fleet.remove_backends(drained)
-    fleet.run(seconds - DRAIN_TIME)
 
 
 # Guards against drains that are sent one by one as soon as each fits, with a message header each
@@ -50,7 +17,7 @@
     fleet = assigned_fleet(240, 900.0, 6)
     entries = fleet.coordinator.planner.outbox.total_entries
     before = entries[EntryKind.MANDATORY]
-    replace(fleet, drains, 7)
+    fleet.replace(drains, 7)
     assert not fleet.late
     assert entries[EntryKind.MANDATORY] - before == 240 * (HEADER + drains)
 
@@ -66,7 +33,7 @@
     fleet = assigned_fleet(proxies, entries_per_s, 3.3, full_queue_time)
     fleet.silent.update(fleet.random.sample(range(proxies), 48 * proxies // 100))
     fleet.run(1)
-    replace(fleet, drains, 8)
+    fleet.replace(drains, 8)
     assert not fleet.late
 
 
@@ -74,7 +41,7 @@
 def test_drains_that_never_fit_together_beside_messages_to_silent_proxies_are_published_apart():
     fleet = assigned_fleet(240, 900.0, 10)
     fleet.silent.update(range(0, 240, 2))
-    replace(fleet, 12, 15)
+    fleet.replace(12, 15)
     assert not fleet.late
 
 
--- a/tests/planner/test_drains_while_joining.py
+++ b/tests/planner/test_drains_while_joining.py
@@ -1,27 +1,12 @@
 """Backends that drain while many proxies wait for their tables must be left within the drain grace."""
 
 import pytest
-from support.drain_observer import DrainObserver
+from support.drain_observer import observed_fleet
 
 from granitespool.units import SECOND
 
 JOINING_TIME = 0.3  # s in which all proxies join
 DRAIN_AFTER = 2.7  # s after the last of them has joined
-DRAIN_TIME = 5.3  # s from the drain of a backend to its end
-
-
-def make_fleet(proxies, entries_per_s, grace, full_queue_time=2, backends=30):
-    return DrainObserver(
-        backends,
-        3,
-        coordinators=3,
-        entries_per_s=entries_per_s,
-        backlog_limit=full_queue_time * entries_per_s,
-        messages_limit=30,
-        messages_span=10 * SECOND,
-        drain_grace=int(grace * SECOND),
-        proxies_expected=proxies,
-    )
 
 
 def join_with_bootstrap_tables(fleet, proxies):
@@ -31,15 +16,6 @@
         fleet.turn(int(JOINING_TIME * SECOND / proxies))
 
 
-def replace(fleet, count, seconds):
-    """Replace `count` backends, and run for `seconds` in all."""
-    drained = fleet.ready[:count]
-    fleet.drain(count)
-    fleet.run(DRAIN_TIME)
-    fleet.remove_backends(drained)
-    fleet.run(seconds - DRAIN_TIME)
-
-
 # Guards against drains that wait until every joining proxy has its table, while these tables contain them
 @pytest.mark.parametrize(
     "proxies, entries_per_s, full_queue_time, grace, drains",
@@ -55,23 +31,23 @@
 def test_drains_are_published_before_assignments_that_are_due_no_earlier(
     proxies, entries_per_s, full_queue_time, grace, drains
 ):
-    fleet = make_fleet(proxies, entries_per_s, grace, full_queue_time)
+    fleet = observed_fleet(proxies, entries_per_s, grace, full_queue_time, coordinators=3)
     join_with_bootstrap_tables(fleet, proxies)
     fleet.run(DRAIN_AFTER)
     assert len(fleet.coordinator.planner.assignment.unassigned) > proxies / 4
-    replace(fleet, drains, grace + 7)
+    fleet.replace(drains, grace + 7)
     assert not fleet.late
 
 
 # Guards against a drain that assignments delay again in each pass, while an earlier drain is not excluded
 def test_assignments_that_precede_a_drain_end_half_a_grace_after_its_start():
-    fleet = make_fleet(proxies=240, entries_per_s=900.0, grace=6, backends=60)
+    fleet = observed_fleet(240, 900.0, grace=6, coordinators=3, backends=60)
     earlier, fleet.ready = fleet.ready[:33], fleet.ready[33:]
     fleet.send_list("changes", [(name, "draining", 0) for name in earlier])
     join_with_bootstrap_tables(fleet, 240)  # excluding all earlier drains would cost more than assigning all
     fleet.run(DRAIN_AFTER)
     assigned = set(range(240)) - fleet.coordinator.planner.assignment.unassigned.keys()
-    replace(fleet, 2, 7)
+    fleet.replace(2, 7)
     assert assigned
     assert not fleet.excluded[239]
     assert not [proxy for proxy, _ in fleet.late if proxy in assigned]
--- a/tests/planner/test_earlier_drains.py
+++ b/tests/planner/test_earlier_drains.py
@@ -1,7 +1,7 @@
 """Proxies that join with an old table must stop using backends that drained long before."""
 
 import pytest
-from support.drain_observer import DrainObserver
+from support.drain_observer import assigned_fleet
 from support.planner_harness import PlannerHarness, RecordedActions
 from support.records import endpoint
 
@@ -9,41 +9,12 @@
 from granitespool.planner.outbox import EntryKind
 from granitespool.units import SECOND
 
-BACKENDS = 30
 CUT_SHARE = 0.48  # of the proxies
 SILENCE_TIMEOUT = 9  # s after which a silent proxy is reported as unreachable
-DRAIN_TIME = 5.3  # s from the drain of a backend to its end
 JOINING_TIME = 2.5  # s in which the proxies join again
 GRACE = 3.3  # s
 
 
-def assigned_fleet(proxies, entries_per_s, full_queue_time):
-    fleet = DrainObserver(
-        BACKENDS,
-        3,
-        coordinators=2,
-        entries_per_s=entries_per_s,
-        backlog_limit=full_queue_time * entries_per_s,
-        messages_limit=30,
-        messages_span=10 * SECOND,
-        drain_grace=int(GRACE * SECOND),
-        proxies_expected=proxies,
-    )
-    for proxy in range(proxies):
-        fleet.join(proxy)
-    fleet.run(proxies * 45 / entries_per_s)
-    assert not fleet.coordinator.planner.assignment.unassigned
-    return fleet
-
-
-def drain(fleet, count):
-    """Replace `count` backends and run until they are gone."""
-    drained = fleet.ready[:count]
-    fleet.drain(count)
-    fleet.run(DRAIN_TIME)
-    fleet.remove_backends(drained)
-
-
 def join_again(fleet, proxies):
     """Let proxies join one after the other, then run until all have their tables."""
     for proxy in proxies:
@@ -67,12 +38,11 @@
 def test_proxies_that_were_cut_off_during_a_drain_leave_its_backends_within_the_grace(
     proxies, entries_per_s, full_queue_time, drains, cut_time
 ):
-    fleet = assigned_fleet(proxies, entries_per_s, full_queue_time)
+    fleet = assigned_fleet(proxies, entries_per_s, GRACE, full_queue_time)
     cut = fleet.random.sample(range(proxies), int(CUT_SHARE * proxies))
     fleet.silent.update(cut)
     fleet.run(1)
-    drain(fleet, drains)
-    fleet.run(SILENCE_TIMEOUT - 1 - DRAIN_TIME)
+    fleet.replace(drains, SILENCE_TIMEOUT - 1)
     for proxy in cut:
         fleet.coordinator.report(fleet.now, ProxyLeft(proxy=proxy, unreachable=True))
     fleet.run(cut_time - SILENCE_TIMEOUT)
@@ -82,24 +52,22 @@
 
 # Guards against the same where the proxies had another coordinator
 def test_proxies_that_come_from_another_coordinator_leave_earlier_drains_within_the_grace():
-    fleet = assigned_fleet(150, 900.0, 2)
+    fleet = assigned_fleet(150, 900.0, GRACE)
     joining = range(150, 300)
     for proxy in joining:
         fleet.set_bootstrap_table(proxy)
-    drain(fleet, 2)
-    fleet.run(14 - DRAIN_TIME)
+    fleet.replace(2, 14)
     join_again(fleet, joining)
     assert not fleet.late
 
 
 # Guards against recent drains that wait behind the exclusion of earlier ones
 def test_earlier_drains_delay_neither_recent_ones_nor_assignments():
-    fleet = assigned_fleet(30, 900.0, 2)
+    fleet = assigned_fleet(30, 900.0, GRACE)
     joining = range(30, 270)
     for proxy in joining:
         fleet.set_bootstrap_table(proxy)
-    drain(fleet, 10)
-    fleet.run(14 - DRAIN_TIME)
+    fleet.replace(10, 14)
     recent = fleet.ready[:2]
     fleet.drain(2)
     for proxy in joining:
--- a/tests/support/drain_observer.py
+++ b/tests/support/drain_observer.py
@@ -3,8 +3,11 @@
 from collections import defaultdict, deque
 from random import Random
 
+from granitespool.units import SECOND
 from support.proxy_fleet import SEED, ProxyFleet
 
+DRAIN_TIME = 5.3  # s from the drain of a backend to its end
+
 
 class DrainObserver(ProxyFleet):
     """A fleet whose proxies apply messages as they arrive, and keep their tables when their stream ends."""
@@ -53,6 +56,14 @@
             self.drained_at[backend] = self.now
         self.replace_backends(count)
 
+    def replace(self, count, seconds):
+        """Replace `count` backends, which end after `DRAIN_TIME`, and run for `seconds` in all."""
+        drained = self.ready[:count]
+        self.drain(count)
+        self.run(DRAIN_TIME)
+        self.remove_backends(drained)
+        self.run(seconds - DRAIN_TIME)
+
     def usable(self, proxy):
         """Return the backends that a proxy may send to."""
         return {name for name, weight in self.weights[proxy].items() if weight} - self.excluded[proxy]
@@ -66,3 +77,29 @@
             self.late |= {
                 (proxy, name) for name in self.usable(proxy) if self.drained_at.get(name, due) < due
             }
+
+
+def observed_fleet(proxies, entries_per_s, grace, full_queue_time=2, coordinators=2, backends=30):
+    """Return a fleet without proxies; the drain grace and the time of a full queue are in seconds."""
+    return DrainObserver(
+        backends,
+        3,
+        coordinators=coordinators,
+        entries_per_s=entries_per_s,
+        backlog_limit=full_queue_time * entries_per_s,
+        messages_limit=30,
+        messages_span=10 * SECOND,
+        drain_grace=int(grace * SECOND),
+        proxies_expected=proxies,
+    )
+
+
+def assigned_fleet(proxies, entries_per_s, grace, full_queue_time=2):
+    """Return a fleet whose proxies have joined and have their tables, and whose channel is empty."""
+    fleet = observed_fleet(proxies, entries_per_s, grace, full_queue_time)
+    for proxy in range(proxies):
+        fleet.join(proxy)
+    fleet.run(proxies * 45 / entries_per_s)
+    assert not fleet.coordinator.planner.assignment.unassigned
+    assert not fleet.channel
+    return fleet
