Take a deferred task's events only while it waits for their descriptor

Cause: found on reading the change again, not seen in service. `Loop._run_timers` gave a deferred task its events without asking whether it still waits for that descriptor, as `_resume_ready` does; a task that another one had resumed meanwhile would have taken them for those of its next wait. And the assertion on a task that is ended in the same turn could not fail.

Change: `_take_deferred` for both places, in place of a stand-in for what is not ready; the assertion says that the ended task is not resumed.

Measured: the new test fails without the check and passes with it; the corrected one fails if the loop does not allow for an ended task. tests/test_loop.py and the tests of fair shares, limits, races and the watch pass.

--- a/granitespool/net/loop.py
+++ b/granitespool/net/loop.py
@@ -42,8 +42,7 @@
 
 Wait = tuple[int | None, int, int | None]  # descriptor, events, deadline in ns
 Coroutine = Generator[Wait, int, None]
-Ready = dict["Task", tuple[int | None, int]]  # task -> descriptor and its events
-NOT_READY = None, 0  # stands for the descriptor and the events of a task that is not ready
+Ready = dict["Task", tuple[int, int]]  # task -> descriptor and its events
 # Called with the time of the turn; returns the latest time of the next turn or None. Both times are in ns.
 EndOfTurn = Callable[[int], int | None]
 
@@ -157,8 +156,8 @@
         self.deferred = ready
         turn_ends_at = self.clock() + TURN_TIME_MAX
         for task in order:
-            fd, events = self.deferred.pop(task, NOT_READY)
-            if fd is None or self.watching.get(fd) is not task:
+            events = self._take_deferred(task)
+            if not events:
                 continue  # another coroutine has ended it or made it wait for something else
             began_at = self.clock()
             self._advance(task, events)
@@ -169,6 +168,11 @@
         if not self.deferred:
             self.fair_share.clear()
 
+    def _take_deferred(self, task: Task) -> int:
+        """Remove a task from the deferred ones; return its events, 0 if it does not wait for them."""
+        fd, events = self.deferred.pop(task, (-1, 0))
+        return events if self.watching.get(fd) is task else 0
+
     def _poll(self, wait: int) -> Ready:
         """Wait for events, set `now`, and return the descriptor and the events of each ready task.
 
@@ -202,8 +206,7 @@
             if task.timer_number == number:
                 task.deadline = None
                 # The events of a deferred task have occurred before its deadline
-                _, events = self.deferred.pop(task, NOT_READY)
-                self._advance(task, events)
+                self._advance(task, self._take_deferred(task))
 
     def _advance(self, task: Task, events: int | None) -> None:
         """Run a coroutine to its next wait; `events` is None at its start."""
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -170,6 +170,31 @@
     first.send()
     second.send()
     peers.loop.turn(lambda now: None, 0)
-    assert second.resumed == [] or second.task not in peers.loop.tasks
     peers.loop.turn(lambda now: None, 0)
-    assert len(second.resumed) <= 1
+    assert second.task not in peers.loop.tasks
+    assert second.resumed == []
+
+
+# Guards against events of one descriptor that are taken for those of another
+def test_a_deferred_peer_that_waits_for_something_else_meanwhile_is_not_resumed_with_the_former_events(peers):
+    resumed = []
+
+    def wait_for_another():
+        with first.sock, other.sock:
+            resumed.append((yield first.sock.fileno(), IN, None))
+            resumed.append((yield other.sock.fileno(), IN, peers.loop.now))
+            resumed.append((yield None, 0, None))
+
+    first, other = peers(0), peers(0)
+    for peer in (first, other):
+        peers.loop.end(peer.task)
+        peer.sock, peer.other_end = socket.socketpair()
+    busy = peers(TURN_TIME_MAX)
+    moving = peers.loop.spawn(wait_for_another())
+    busy.send()
+    first.send()
+    peers.loop.turn(lambda now: None, 0)
+    assert moving in peers.loop.deferred
+    peers.loop.resume(moving)
+    peers.loop._run_timers()
+    assert resumed == [0, 0]
