Derive the buffers of a large message, and say why the watch waits for OUT

Cause: the number of receive buffers that count as a large message stood beside the size of one, and a wait gave no reason for its events. Change: LARGE_MESSAGE // BUFFER_SIZE, the same 4; a comment. Behaviour as it was. Measured: the tests of fair shares, connection limits and the watch pass.

--- a/granitespool/net/admission.py
+++ b/granitespool/net/admission.py
@@ -7,8 +7,9 @@
 """
 
 from granitespool.errors import InvalidInputError
+from granitespool.net.buffers import BUFFER_SIZE
 from granitespool.net.connection import Connection, Role
-from granitespool.net.frames import MESSAGE_MAX
+from granitespool.net.frames import LARGE_MESSAGE, MESSAGE_MAX
 from granitespool.net.log import Log
 from granitespool.net.loop import SECOND, Loop
 
@@ -16,8 +17,7 @@
 PENDING_GRACE = SECOND // 20
 # Pending connections accepted beyond the connection limit. Their descriptors belong to `RESERVED_SOCKETS`.
 PENDING_RESERVE = 4
-# Receive buffers that only a message far larger than any that peers have to send fills
-LARGE_MESSAGE_BUFFERS = 4
+LARGE_MESSAGE_BUFFERS = LARGE_MESSAGE // BUFFER_SIZE  # receive buffers that a large message fills
 
 
 class Admission:
--- a/granitespool/net/discovery.py
+++ b/granitespool/net/discovery.py
@@ -243,7 +243,7 @@
 
     def _let_others_run(self, sock: socket.socket) -> Coroutine:
         """Wait until the next turn if the watch has used its share of this one."""
-        if self.loop.is_share_used:
+        if self.loop.is_share_used:  # the socket is writable, so that this is no longer than a turn
             yield sock.fileno(), OUT, self.loop.now + HEARTBEAT_TIMEOUT
 
     def _check_watch(self, partial_line: bytes) -> None:
