End a read at its deadline also while the peer sends without a pause

Backends that answer a health check with a body without end, and a quiet proxy gets no `pong` any more.

Cause: `client.receive` waits once more after a full read and did not look at what the wait returned. Resumed by its deadline it read on and waited with a deadline that had passed, so `_run_timers` resumed it again in the same turn, as long as bytes came.

Evidence: `pong`s of a real process stop within 14 s; the coroutine alone, resumed with 0, returned data. Ruled out: discovery with the same body (4 ms at worst), a head without end (2 ms), memory (25 MB).

Change: the wait's end by the deadline raises TimeoutError, as that of the other wait.

Tests of health checks, the watch and the wire's recordings pass.

--- a/granitespool/net/client.py
+++ b/granitespool/net/client.py
@@ -63,7 +63,8 @@
 def receive(sock: socket.socket, deadline: int | None) -> Generator[Wait, int, bytes]:
     """Return the next received bytes, or b"" if the peer has closed the connection.
 
-    Raise TimeoutError if no bytes are received by `deadline` (ns), and OSError if the connection is broken.
+    Raise TimeoutError if no bytes are received by `deadline` (ns) or if the deadline passes while more bytes
+    may wait, and OSError if the connection is broken.
     After a read of `RECEIVE_SIZE` bytes the caller is resumed only in the next turn. A peer that sends
     without a pause therefore does not starve the other peers.
     """
@@ -74,6 +75,6 @@
             if not (yield sock.fileno(), IN, deadline):
                 raise TimeoutError("no data was received before the deadline") from None
             continue
-        if len(data) == RECEIVE_SIZE:
-            yield sock.fileno(), OUT, deadline
+        if len(data) == RECEIVE_SIZE and not (yield sock.fileno(), OUT, deadline):
+            raise TimeoutError("the peer was still sending at the deadline")
         return data
