Log list changes by name, tables and exclusions sent, and metrics of waits and open drains

Change: `endpoint_list` names what it lists as draining and gone (64 each); `table_sent` for each whole table with the proxy and its wait; `exclusions_sent` once a turn; `metrics` has longest_wait_ms, outstanding_drains, longest_drain_ms. No order changes.

--- a/granitespool/net/discovery.py
+++ b/granitespool/net/discovery.py
@@ -12,7 +12,7 @@
 import h11
 import orjson
 
-from granitespool.endpoints import SOCKET_ENTRY, Endpoint, endpoint_from_wire
+from granitespool.endpoints import SOCKET_ENTRY, Endpoint, Phase, endpoint_from_wire
 from granitespool.errors import GranitespoolError, InvalidInputError
 from granitespool.fields import required_field, required_number
 from granitespool.net.client import dial, http_get, receive
@@ -27,6 +27,7 @@
 # ns within which a line has to be complete. A line counts as delivered after 6 s.
 LINE_TIMEOUT = 4 * HEARTBEAT_TIMEOUT
 LINE_MAX = 8 << 20  # bytes of one line; a list of ten thousand backends fits in
+LOGGED_NAMES_MAX = 64  # backends of one phase that the log names for one list
 POLL_BACKOFF_MIN = SECOND  # ns until invalid entries are requested again for the first time
 # Longest time in ns between two requests for invalid entries. An entry may stay invalid permanently.
 POLL_BACKOFF_MAX = 60 * SECOND
@@ -187,7 +188,17 @@
     def _report(self, form: ListForm, index: int, entries: list[Endpoint]) -> None:
         if entries or form != ListForm.CHANGES:
             self.coordinator.report(self.loop.now, EndpointListUpdate(form, entries))
-        self.log.event("endpoint_list", kind=form, index=index, entries=len(entries))
+        draining = [entry.name for entry in entries if entry.phase == Phase.DRAINING]
+        gone = [entry.name for entry in entries if entry.phase == Phase.GONE]
+        self.log.event(
+            "endpoint_list",
+            kind=form,
+            index=index,
+            entries=len(entries),
+            draining=draining[:LOGGED_NAMES_MAX],
+            gone=gone[:LOGGED_NAMES_MAX],
+            omitted=sum(max(0, len(names) - LOGGED_NAMES_MAX) for names in (draining, gone)),
+        )
 
     def _run(self) -> Coroutine:
         self.reconnect_backoff = RECONNECT_BACKOFF_MIN
--- a/granitespool/net/service.py
+++ b/granitespool/net/service.py
@@ -197,6 +197,7 @@
             due = management_due if due is None else min(due, management_due)
         for recipient in self.coordinator.recipients():
             self._run_guarded(self._write, recipient)
+        self.streams.update_log.end_turn()
         if self.metrics:
             self.metrics.turn_ended(now)
         self.log.flush()
--- a/granitespool/net/streams.py
+++ b/granitespool/net/streams.py
@@ -31,6 +31,7 @@
 from granitespool.net.loop import IN, OUT, SECOND, Coroutine, Loop
 from granitespool.net.membership import Membership
 from granitespool.net.messages import KnownNames
+from granitespool.net.update_log import UpdateLog
 
 # ns from the accept to the join message. Other messages do not extend the time: proxies join at once.
 JOIN_TIMEOUT = 3 * SECOND // 2
@@ -66,6 +67,7 @@
         self.accepted_count = 0  # number of connections accepted so far
         self.finishing = False  # whether all connections have to end
         self.large_waiting: dict[Connection, None] = {}  # hold a large message, the longest waiting first
+        self.update_log = UpdateLog(log)
         self.may_parse_large: Connection | None = None  # may parse its large message now
         self.reconfigure(config)
         self.acceptor = Acceptor(loop, log, self.admission, config["listen"], self._open)
@@ -114,6 +116,7 @@
         update = self.coordinator.pick(proxy)
         if update is None:
             return
+        self.update_log.add(proxy, update, self.loop.now - connection.accepted_at)
         data = encode_update(update)
         try:
             connection.write(data)
--- a/granitespool/planner/exclusion.py
+++ b/granitespool/planner/exclusion.py
@@ -91,6 +91,16 @@
             default=None,
         )
 
+    def outstanding_drains(self) -> list[Backend]:
+        """Return the backends that are not ready and that proxies may still use, by what was sent to them."""
+        has_unassigned = bool(self._assignment.unassigned)
+        return [
+            backend
+            for backend in self._dirty.absent
+            if backend.phase != READY
+            and (backend.is_in_tables or (has_unassigned and backend.exclusion != Exclusion.EXCLUDED))
+        ]
+
     def _longest_wait(self, now: int) -> int:
         """Return the longest wait (ns) of an unassigned proxy that was sent no exclusions."""
         return max(
--- a/granitespool/planner/inspection.py
+++ b/granitespool/planner/inspection.py
@@ -4,6 +4,7 @@
 
 from granitespool.planner.assignment import ProxyAssignment
 from granitespool.planner.cost import CostTable
+from granitespool.planner.exclusion import ExclusionControl
 from granitespool.planner.fleet import Fleet
 from granitespool.planner.in_flight import InFlightAccount
 from granitespool.planner.load_reports import DECAY_FACTOR
@@ -44,6 +45,7 @@
         overload: OverloadDetector,
         slow_start: SlowStart,
         outbox: Outbox,
+        exclusion: ExclusionControl,
     ) -> None:
         self.acknowledgement_latency = 0  # of the last acknowledgement, ns
         self._fleet = fleet
@@ -54,6 +56,7 @@
         self._overload = overload
         self._slow_start = slow_start
         self._outbox = outbox
+        self._exclusion = exclusion
 
     def backend(self, name: str) -> Backend | None:
         """Return the record of a backend, or None if it is not in the fleet."""
@@ -140,9 +143,14 @@
     def metrics(self, now: int) -> PlannerMetrics:
         """Return the metrics of the planner at `now` (ns)."""
         links = [link for backend in self._fleet.backends.values() for link in backend.links.values()]
+        unassigned = self._assignment.unassigned.values()
+        drains = self._exclusion.outstanding_drains()
         return PlannerMetrics(
             joined=len(self._assignment.proxies),
-            unassigned=len(self._assignment.unassigned),
+            unassigned=len(unassigned),
+            longest_wait=now - min((waiting.since for waiting in unassigned), default=now),
+            outstanding_drains=len(drains),
+            longest_drain=now - min((backend.left_ready_at for backend in drains), default=now),
             in_flight=self._account.in_flight,
             in_flight_limit=self._account.limit,
             oldest_in_flight_age=self._account.oldest_age(now),
--- a/granitespool/planner/planner.py
+++ b/granitespool/planner/planner.py
@@ -137,6 +137,7 @@
             self.overload,
             self.slow_start,
             outbox,
+            self.exclusion,
         )
 
     def apply_settings(self, settings: Settings) -> None:
--- a/granitespool/planner/status.py
+++ b/granitespool/planner/status.py
@@ -89,6 +89,9 @@
 
     joined: int
     unassigned: int
+    longest_wait: int  # of an unassigned proxy, ns; 0 if there is none
+    outstanding_drains: int  # backends that left the ready phase and that proxies may still use
+    longest_drain: int  # since the first outstanding drain, ns; 0 if there is none
     in_flight: float  # number of table entries
     in_flight_limit: float  # number of table entries
     oldest_in_flight_age: int  # of the oldest unacknowledged message, ns
--- a/tests/planner/test_drains_while_joining.py
+++ b/tests/planner/test_drains_while_joining.py
@@ -51,3 +51,17 @@
     assert assigned
     assert not fleet.excluded[239]
     assert not [proxy for proxy, _ in fleet.late if proxy in assigned]
+
+
+def test_metrics_show_how_long_proxies_wait_and_how_long_they_may_use_a_drained_backend():
+    fleet = observed_fleet(240, 900.0, grace=6, coordinators=3)
+    before = fleet.coordinator.metrics().planner
+    assert (before.longest_wait, before.outstanding_drains, before.longest_drain) == (0, 0, 0)
+    join_with_bootstrap_tables(fleet, 240)
+    fleet.run(DRAIN_AFTER)
+    fleet.drain(2)
+    metrics = fleet.coordinator.metrics().planner
+    assert metrics.outstanding_drains == 2
+    assert 0 == metrics.longest_drain < 2 * SECOND < metrics.longest_wait < 4 * SECOND
+    fleet.run(2)
+    assert fleet.coordinator.metrics().planner.outstanding_drains == 0
