--- a/granitespool/scale/coordinators.py
+++ b/granitespool/scale/coordinators.py
@@ -12,7 +12,7 @@
 from granitespool.scale.coordinator_endpoint import CoordinatorEndpoint
 from granitespool.scale.coordinator_log import CoordinatorLog
 from granitespool.scale.coroutines import Wait
-from granitespool.scale.discovery import DiscoveryAgent, as_row
+from granitespool.scale.discovery import DiscoveryAgent, KnownList, as_row
 from granitespool.scale.fleet import ListedBackend
 from granitespool.scale.processes import Child, Sample, read_lines, sample, write_json
 from granitespool.scale.queries import ping, proxy_allowed, settings_query
@@ -51,6 +51,7 @@
         self.log = CoordinatorLog(endpoint.name)
         self.written_version = 0  # version of the settings in the configuration file
         self.applied_version = 0  # newest settings version observed as active
+        self.known = KnownList(0, [])  # endpoint list that it was last started with
         self.older_settings = 0  # queries that found older settings than an earlier one
         self.samples: list[Sample] = []  # resource usage of all its processes
         self.ready_times: list[int] = []  # ns from each start to the first answer
@@ -86,21 +87,23 @@
             "seed": f"{self.scenario.scale.seed + self.index + 1:x}",
             "limits": {"memory_mb": coordinators.memory_mb, "sockets": coordinators.sockets},
             "known": {
-                "index": self.agent.list_index,
+                "index": self.known.version,
                 "snapshot": True,
-                "endpoints": [as_row(entry) for entry in self.agent.list.entries.values()],
+                "endpoints": [as_row(entry) for entry in self.known.entries],
             },
             "settings": fleet.settings(self.scenario, self.endpoint.zone, self.index, version),
         }
 
     def start(self, entries: list[ListedBackend]) -> Wait:
         """Start the process and wait until it is ready; return whether that was before the timeout."""
+        if not self.ready_times or self.scenario.coordinators.known == "current":
+            self.known = KnownList(self.agent.list_index, entries)
         self.write_configuration(self.written_version)
-        self.agent.record_initial_list(entries)
+        self.agent.record_initial_list(self.known)
         coordinators = self.scenario.coordinators
         command = ["-m", "granitespool", "serve", "--config", str(self.path)]
         started_at = self.loop.clock()
-        self.log.list_index = self.agent.list_index
+        self.log.list_index = self.known.version
         self.child = Child(command, coordinators.memory_mb, coordinators.sockets)
         self.loop.spawn(read_lines(self.child, self.log.add_line))
         deadline = started_at + int(self.scenario.times.ready_s * SECOND)
--- a/granitespool/scale/discovery.py
+++ b/granitespool/scale/discovery.py
@@ -90,6 +90,13 @@
         return self._snapshot_line
 
 
+class KnownList(NamedTuple):
+    """The endpoint list in a coordinator's configuration."""
+
+    version: int
+    entries: list[ListedBackend]
+
+
 class PendingLine(NamedTuple):
     """A line that is to be written to a watch."""
 
@@ -163,11 +170,11 @@
             if watch.task:
                 self.loop.end(watch.task)
 
-    def record_initial_list(self, entries: Iterable[ListedBackend]) -> None:
+    def record_initial_list(self, known: KnownList) -> None:
         """Record the endpoint list of the coordinator's configuration as written to it."""
         now = self.loop.clock()
-        for entry in entries:
-            self._record(entry, self.list_index, now)
+        for entry in known.entries:
+            self._record(entry, known.version, now)
 
     def _record(self, entry: ListedBackend, index: int, now: int) -> None:
         if self.written_index.get(entry.name, 0) > index or not self.recorded:
--- a/granitespool/scale/environment.py
+++ b/granitespool/scale/environment.py
@@ -15,7 +15,7 @@
 from granitespool.scale.fleet import GeneratedFleet, ListedBackend, Network
 from granitespool.scale.plan import coordinator_name, coordinator_zones
 from granitespool.scale.propagation import PropagationTracker
-from granitespool.scale.proxy_stream import ProxyStream
+from granitespool.scale.proxy_stream import ProxyStream, RedialDelay
 from granitespool.scale.recorder import Recorder
 from granitespool.scale.schema import Scenario
 from granitespool.scale.traffic import Traffic
@@ -95,7 +95,8 @@
     def _make_proxy(self, number: int, endpoint: CoordinatorEndpoint) -> None:
         random = Random(f"{self.scenario.scale.seed} proxy {number}")
         table = self._first_table(number, endpoint.region, random)
-        stream = ProxyStream(self.loop, self.recorder, table, endpoint, self.ever_listed, random)
+        redial = RedialDelay.of(self.scenario.proxies)
+        stream = ProxyStream(self.loop, self.recorder, table, endpoint, self.ever_listed, random, redial)
         stream.rate = self.scenario.traffic.proxy_requests_per_s
         stream.classes = tuple(f"class{number}" for number in range(self.scenario.traffic.classes))
         stream.on_applied = self.propagation.applied
--- a/granitespool/scale/hollow_fleet.py
+++ b/granitespool/scale/hollow_fleet.py
@@ -16,7 +16,7 @@
 from granitespool.scale.hollow.process import ProcessStatus, Spec
 from granitespool.scale.hollow.profile import Profile
 from granitespool.scale.processes import MEGABYTE, Child, Sample, read_lines, sample, write_json
-from granitespool.scale.proxy_stream import ProxyStream
+from granitespool.scale.proxy_stream import ProxyStream, RedialDelay
 from granitespool.scale.recorder import Recorder
 from granitespool.scale.report import HollowRow, KindTraffic
 from granitespool.scale.samples import share_of
@@ -131,7 +131,10 @@
             number = expected_proxies(scenario) - 1 - len(self.streams)
             table = ProxyTable(number, scenario.zones[number % len(scenario.zones)], {})
             random = Random(f"{scenario.scale.seed} proxy {number}")
-            stream = ProxyStream(self.loop, self.recorder, table, endpoint, environment.ever_listed, random)
+            redial = RedialDelay.of(scenario.proxies)
+            stream = ProxyStream(
+                self.loop, self.recorder, table, endpoint, environment.ever_listed, random, redial
+            )
             stream.rate = scenario.traffic.proxy_requests_per_s
             self.streams.append(stream)
 
--- a/granitespool/scale/plan.py
+++ b/granitespool/scale/plan.py
@@ -203,9 +203,10 @@
         self._add(after, "remove", [_with_status(backend, "gone") for backend in drained])
 
     def _restart(self, event: Event) -> None:
-        for at, index in zip(self._times(event), range(min(event.count, self.scenario.coordinators.real))):
+        indexes = range(event.first, self.scenario.coordinators.real)
+        for at, index in zip(self._times(event), indexes, strict=False):
             name = coordinator_name(index)
-            self._add(at, "terminate", names=[name])
+            self._add(at, event.signal, names=[name])
             self._add(at + event.back_s, "start", names=[name])
 
     def _stall(self, event: Event) -> None:
--- a/granitespool/scale/proxy_stream.py
+++ b/granitespool/scale/proxy_stream.py
@@ -8,7 +8,7 @@
 from collections import deque
 from collections.abc import Callable, Container
 from random import Random
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -21,14 +21,12 @@
 from granitespool.scale.coroutines import Wait
 from granitespool.scale.proxy_message import IncomingMessage
 from granitespool.scale.recorder import Recorder
+from granitespool.scale.schema import Proxies
 from granitespool.scale.trace import MessageWritten, ProxyJoined, ProxyLeft, TableHeld, UpdateReceived
 from granitespool.simulation.proxy_table import ProxyTable
 from granitespool.units import MILLISECOND, SECOND
 
 DIAL_TIMEOUT = SECOND  # ns for a connection to be established
-RECONNECT_DELAY = (
-    SECOND // 5
-)  # ns from a stream's end to the next attempt to connect; randomly up to 50 % shorter or longer
 USAGE_INTERVAL = SECOND  # ns between usage reports
 APPLY_TIME = 5 * MILLISECOND  # ns that a proxy needs to apply a delivered message
 BUFFERS = 1 << 16  # buffers of a stream's reader
@@ -42,6 +40,18 @@
     message: IncomingMessage
 
 
+class RedialDelay(NamedTuple):
+    """The time (ns) from the end of a stream to the next attempt to connect is drawn from this range."""
+
+    shortest: int
+    longest: int
+
+    @classmethod
+    def of(cls, proxies: Proxies) -> "RedialDelay":
+        """Return the range that a scenario has for its proxies."""
+        return cls(int(proxies.redial_min_s * SECOND), int(proxies.redial_max_s * SECOND))
+
+
 class ProxyStream:
     """One proxy and its current stream."""
 
@@ -53,6 +63,7 @@
         home: CoordinatorEndpoint,
         known_backends: Container[str],
         random: Random,
+        redial_delay: RedialDelay,
     ) -> None:
         """Create a proxy, which connects to `home`.
 
@@ -64,6 +75,7 @@
         self.endpoint = home
         self.known_backends = known_backends
         self.random = random
+        self.redial_delay = redial_delay
         self.rate = 0.0  # requests a second
         self.classes: tuple[str, ...] = ()
         self.without_table = True  # whether the proxy still waits for its first table
@@ -106,7 +118,7 @@
     # Streams
 
     def _run(self) -> Wait:
-        yield None, 0, self.loop.now + int(self.random.random() * RECONNECT_DELAY)
+        yield None, 0, self.loop.now + int(self.random.random() * self.redial_delay.shortest)
         while True:
             yield from self._connect(self.endpoint)
             if self.sock is not None:
@@ -114,7 +126,7 @@
                 self.sock = None
             if self.endpoint.down:
                 self.endpoint = self.endpoint.successor()
-            yield None, 0, self.loop.now + int(RECONNECT_DELAY * (0.5 + self.random.random()))
+            yield None, 0, self.loop.now + int(self.random.uniform(*self.redial_delay))
 
     def _connect(self, endpoint: CoordinatorEndpoint) -> Wait:
         """Run one stream until it ends, and record its end."""
--- a/granitespool/scale/schema.py
+++ b/granitespool/scale/schema.py
@@ -43,6 +43,7 @@
     hollow_processes: Annotated[int, Meta(ge=1, le=16)] = 4
     memory_mb: Annotated[int, Meta(ge=32, le=65_536)] = 256
     sockets: Annotated[int, Meta(ge=64, le=65_536)] = 1_024
+    known: Literal["current", "first"] = "current"  # endpoint list that a restarted one is configured with
 
 
 class Proxies(msgspec.Struct, frozen=True, kw_only=True):
@@ -52,6 +53,8 @@
     per_hollow: Annotated[int, Meta(ge=0, le=1_000)] = 1  # proxies connected to each hollow coordinator
     first_table_lines: Annotated[int, Meta(ge=1, le=1_000)] = 20  # backends in a proxy's bootstrap table
     other_region_share: Share = 0.25  # share of a coordinator's proxies that are in another region
+    redial_min_s: Seconds = 0.1  # from the end of a stream to the next attempt to connect
+    redial_max_s: Seconds = 0.3
 
 
 class Traffic(msgspec.Struct, frozen=True, kw_only=True):
@@ -123,7 +126,9 @@
     refused: Annotated[int, Meta(ge=0, le=1_000)] = 0  # number of the configurations that are invalid
     drain_s: Seconds = 7.0  # from a backend's drain until its removal
     noticed_s: Seconds = 2.0  # from a backend's failure until discovery reports it
-    back_s: Seconds = 2.0  # from a backend's end until the backend or its replacement starts
+    back_s: Seconds = 2.0  # from a backend's or a coordinator's end until it or its replacement starts
+    signal: Literal["terminate", "kill"] = "terminate"  # ends the coordinators of a restart
+    first: Annotated[int, Meta(ge=0, le=63)] = 0  # number of the first coordinator of a restart
 
 
 SECTIONS: dict[str, type[msgspec.Struct]] = {
