Count the exclusions that are sent together with a table in the channel's account

Callers saw nothing yet: the channel held up to one entry more for each backend excluded and still in a table than the account knew, so a full queue could pass its limit.

Cause: `readmission_cost` counted the backends that a proxy may exclude, whatever is sent with the entry. A backend that is excluded now, and not yet at this proxy, is sent as one more entry; one that it has excluded already costs none.

Change: the cost asks the same question as the sending (`needs_exclusion`).

--- a/granitespool/proxy_updates.py
+++ b/granitespool/proxy_updates.py
@@ -277,7 +277,7 @@
         }
 
     def readmission_cost(self, proxies: Iterable[int], table: int, backend: str | None) -> dict[int, int]:
-        """Return the entries, by proxy, that readmit backends which these proxies may exclude.
+        """Return the entries, by proxy, that readmit or exclude backends together with their table entries.
 
         The proxies get the entry of `backend`, or the whole table if it is None.
         """
@@ -285,7 +285,9 @@
         costs = {}
         for proxy in proxies:
             subscriber = self.proxies.get(proxy)
-            entries = sum(map(subscriber.may_exclude, names)) if subscriber else 0
+            if subscriber is None:
+                continue
+            entries = sum(subscriber.needs_exclusion(name, name in self.excluded) for name in names)
             if entries:
                 costs[proxy] = entries
         return costs
