--- a/granitespool/coordinator.py
+++ b/granitespool/coordinator.py
@@ -40,7 +40,7 @@
 from granitespool.planner.events import EndpointListUpdate, Event, LoadReport, ProxyJoined, ProxyLeft
 from granitespool.planner.planner import Planner
 from granitespool.planner.records import UnassignedProxy
-from granitespool.planner.status import Outliers, Snapshot
+from granitespool.planner.status import LateDrains, Outliers, Snapshot
 from granitespool.proxy_updates import ProxyUpdates
 from granitespool.settings import Settings
 
@@ -160,6 +160,9 @@
     @overload
     def pick(self, recipient: Literal[Queue.REMOVED_BACKENDS]) -> RemovedBackend | None: ...
 
+    @overload
+    def pick(self, recipient: Literal[Queue.LATE_DRAINS]) -> LateDrains | None: ...
+
     @overload
     def pick(self, recipient: Recipient) -> OutgoingMessage | None: ...
 
@@ -273,6 +276,10 @@
         """Return which of these backends a proxy was not sent an exclusion of on its stream."""
         return self.updates.missing_exclusions(proxy, backends)
 
+    def report_late_drains(self, late: LateDrains) -> None:
+        """Queue a report of drains that reach proxies too late."""
+        self.queues[Queue.LATE_DRAINS].append(late)
+
     def end_exclusion(self, backend: str) -> None:
         """Readmit a backend, at each proxy together with its first table entry of the backend."""
         self.updates.excluded.discard(backend)
--- a/granitespool/net/service.py
+++ b/granitespool/net/service.py
@@ -31,6 +31,8 @@
     Recipient,
     RemovedBackend,
 )
+from granitespool.planner.status import LateDrains
+from granitespool.units import MILLISECOND
 
 if TYPE_CHECKING:
     from granitespool.management.data_tree import Tree
@@ -240,6 +242,13 @@
             self.discovery.remove_address(message.backend)
         elif isinstance(message, InternalError):
             self.log.event("internal_error", detail=message.text)
+        elif isinstance(message, LateDrains):
+            self.log.rate_limited_event(
+                "drains_late",
+                proxies=message.proxies,
+                entries=message.entries,
+                late_ms=message.lateness // MILLISECOND,
+            )
 
     def _finish(self) -> None:
         """Close all streams after their unsent bytes were written.
--- a/granitespool/outgoing.py
+++ b/granitespool/outgoing.py
@@ -6,6 +6,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from granitespool.planner.status import LateDrains
+
 
 class Queue(Enum):
     """A queue of messages to recipients other than proxies."""
@@ -14,6 +16,7 @@
     GOSSIP = "gossip"  # to be sent to peers
     INTERNAL_ERRORS = "internal_errors"  # to be logged
     REMOVED_BACKENDS = "removed_backends"  # backends whose records were removed
+    LATE_DRAINS = "late_drains"  # to be logged
 
 
 class TableUpdate(NamedTuple):
@@ -67,5 +70,7 @@
     backend: str
 
 
-OutgoingMessage = ProxyUpdate | HealthCheckRequest | GossipMessage | InternalError | RemovedBackend
+OutgoingMessage = (
+    ProxyUpdate | HealthCheckRequest | GossipMessage | InternalError | RemovedBackend | LateDrains
+)
 Recipient = int | Queue  # a proxy by its number, or a queue
--- a/granitespool/planner/actions.py
+++ b/granitespool/planner/actions.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from granitespool.planner.records import UnassignedProxy
+from granitespool.planner.status import LateDrains
 
 
 class ProxyActions(Protocol):
@@ -30,6 +31,9 @@
     def missing_exclusions(self, proxy: int, backends: Iterable[str]) -> list[str]:
         """Return which of these backends an unassigned proxy was not sent an exclusion of."""
 
+    def report_late_drains(self, late: LateDrains) -> None:
+        """Report that the channel cannot serve all proxies that are due in time."""
+
     def end_exclusion(self, backend: str) -> None:
         """Readmit a backend, at each proxy together with the first table entry of the backend."""
 
--- a/granitespool/planner/drain_delivery.py
+++ b/granitespool/planner/drain_delivery.py
@@ -14,6 +14,7 @@
 from granitespool.planner.outbox import Outbox
 from granitespool.planner.records import Backend
 from granitespool.planner.short_tables import PART_SIZES
+from granitespool.planner.status import LateDrains
 from granitespool.settings import Settings
 from granitespool.units import SECOND
 
@@ -54,6 +55,8 @@
         due_proxies = self._due_proxies({backend.name: backend.left_ready_at for backend in backends})
         served = [due for due in due_proxies if due_before is None or due.due < due_before]
         size = self._largest_size_in_time(now, served)
+        if size is None:
+            self._report_late(now, served)
         for due_proxy in served:
             if not self._serve(now, due_proxy, size):
                 self._budget.is_mandatory_waiting = True
@@ -97,10 +100,9 @@
         """
         part_size = min(PART_SIZES) if size is None else size
         part_cost = self._assignment.part_cost(now, due_proxy.proxy, part_size)
-        exclusion_cost = len(due_proxy.backends)
-        is_part = part_cost > 0 and (size is not None or part_cost <= exclusion_cost)
+        is_part = part_cost > 0 and (size is not None or part_cost <= len(due_proxy.backends))
         account = self._budget.account
-        cost = (part_cost if is_part else exclusion_cost) + account.header
+        cost = (part_cost if is_part else len(due_proxy.backends)) + account.header
         if cost > account.capacity_left(MANDATORY_QUEUE_SHARE):
             return False
         if is_part:
@@ -108,3 +110,18 @@
         else:
             self._outbox.exclude_for(now, due_proxy.proxy, due_proxy.backends)
         return True
+
+    def _report_late(self, now: int, due_proxies: list[DueProxy]) -> None:
+        """Report the proxies that the channel cannot serve in time even with the shortest messages."""
+        account = self._budget.account
+        entries = account.in_flight
+        lateness = []
+        for due_proxy in due_proxies:
+            part_cost = self._assignment.part_cost(now, due_proxy.proxy, min(PART_SIZES))
+            entries += min(part_cost or len(due_proxy.backends), len(due_proxy.backends)) + account.header
+            lateness.append(now + int(entries / account.observed_rate * SECOND) - due_proxy.due)
+        late_proxies = sum(late > 0 for late in lateness)
+        if late_proxies:
+            self._actions.report_late_drains(
+                LateDrains(proxies=late_proxies, entries=int(entries), lateness=max(lateness))
+            )
--- a/granitespool/planner/status.py
+++ b/granitespool/planner/status.py
@@ -108,6 +108,14 @@
     last_resort_links: int
 
 
+class LateDrains(msgspec.Struct, frozen=True, kw_only=True):
+    """Proxies that leave draining backends after the grace, since the channel is too slow for all of them."""
+
+    proxies: int  # number of late proxies
+    entries: int  # in flight and for all proxies that are due, at least
+    lateness: int  # of the last proxy, ns
+
+
 class Outlier(msgspec.Struct, frozen=True, kw_only=True):
     """A backend that gets less than its ordinary share of the traffic."""
 
--- a/tests/planner/test_restart_in_deploy.py
+++ b/tests/planner/test_restart_in_deploy.py
@@ -3,6 +3,7 @@
 import pytest
 from support.restarted_fleet import TRANSIT_TIME, RestartedFleet
 
+from granitespool.outgoing import Queue
 from granitespool.scale import runner, schema
 
 RULE_SLACK = 0.3  # s that the protocol adds to the drain grace on sockets
@@ -38,3 +39,19 @@
     report = runner.play(schema.load("restart_in_deploy"))
     assert not report.failures
     assert report.broken == {}
+
+
+def test_the_log_has_figures_where_the_channel_cannot_serve_all_proxies_in_time():
+    fleet = RestartedFleet(640, 730, GRACE, missed=100)
+    fleet.run(2.5)
+    reports = fleet.coordinator.queues[Queue.LATE_DRAINS]
+    fleet.run(10)
+    late = {proxy for proxy, _ in fleet.late}
+    assert max(report.proxies for report in reports) >= 0.5 * len(late) > 0
+    assert all(report.lateness > 0 and report.entries > 730 for report in reports)
+
+
+def test_the_log_has_no_late_drains_where_all_proxies_are_served_in_time():
+    fleet = RestartedFleet(150, 900, GRACE, missed=30)
+    fleet.run(10)
+    assert not fleet.coordinator.queues[Queue.LATE_DRAINS]
