Soak: drawn scenarios in which coordinators end and start throughout a deploy

Change: `granitespool scale soak [--seed N] [--count N]` draws sizes, limits of the channel, a deploy throughout, signals in series (SIGTERM, SIGKILL, SIGHUP) and faults of discovery from a seed, and runs real processes; each third seed is a crowd: all proxies come to one coordinator, which is restarted then. The judge is the scale run's checker.

--- a/granitespool/cli/__init__.py
+++ b/granitespool/cli/__init__.py
@@ -10,6 +10,7 @@
   granitespool emulate run EXPERIMENT [--set KEY=VALUE]... [--json] [--plot FILE]
   granitespool scale list
   granitespool scale run SCENARIO [--set KEY=VALUE]... [--seed N] [--report FILE] [--plot FILE]
+  granitespool scale soak [--seed N] [--count N]
   granitespool scale plot PLOT REPORT...
   granitespool version
   granitespool (-h | --help)
@@ -24,8 +25,9 @@
            the expiry of certificates (exit code 1 if one has expired or expires within two weeks).
   emulate  Run an experiment in virtual time: a file, or a name that `emulate list` prints.
   scale    Run a scenario in real time on loopback, with real and hollow coordinators: a file, or a name that
-           `scale list` prints (exit code 1 if a rule was violated or the run itself failed); or plot the
-           cost of coordinators against the size of the fleet, from the reports of several runs.
+           `scale list` prints (exit code 1 if a rule was violated or the run itself failed); or the drawn
+           scenarios of a soak, one seed after the other; or plot the cost of coordinators against the size of
+           the fleet, from the reports of several runs.
   version  Print the version.
 
 Options:
@@ -36,7 +38,8 @@
   --user NAME      Common name of a client [default: operations].
   --days DAYS      Validity of the certificates in days [default: 90].
   --set KEY=VALUE  Override a key of the experiment or scenario.
-  --seed N         Override the seed of the scenario.
+  --seed N         Override the seed of the scenario; the first seed of a soak, which is 1 otherwise.
+  --count N        Number of seeds of a soak [default: 1].
   --report FILE    Write the full report of the scenario as JSON, in addition to the table.
   --json           Print the result as JSON instead of a table.
   --plot FILE      Plot the result as PNG, SVG or PDF; needs the extra `plot`.
@@ -62,6 +65,7 @@
     "--set",
     "--json",
     "--seed",
+    "--count",
     "--report",
     "--plot",
     "--name",
--- a/granitespool/cli/scale.py
+++ b/granitespool/cli/scale.py
@@ -9,9 +9,11 @@
 
 from granitespool.cli import EXIT_FAILURE
 from granitespool.errors import InvalidInputError
-from granitespool.scale import plot, report, runner, schema
+from granitespool.scale import plot, report, runner, schema, soak
 from granitespool.simulation.plotting import require_matplotlib
 
+VIOLATIONS_PRINTED = 5  # of each seed of a soak
+
 
 def run(arguments: Mapping[str, Any]) -> int:
     """List the scenarios, run one or plot reports, and return the exit code.
@@ -25,6 +27,8 @@
     if arguments["plot"]:
         plot.plot([_read_report(path) for path in arguments["REPORT"]], arguments["PLOT"])
         return 0
+    if arguments["soak"]:
+        return _run_soak(arguments)
     return _run_scenario(arguments)
 
 
@@ -47,6 +51,25 @@
     return 0
 
 
+def _run_soak(arguments: Mapping[str, Any]) -> int:
+    first = _whole_number("--seed", arguments["--seed"] or "1")
+    count = _whole_number("--count", arguments["--count"])
+    broken = 0
+    for result in soak.play(range(first, first + count)):
+        print(soak.describe(result), flush=True)
+        broken += not result.passed
+        for violation in () if result.passed else result.report.violations[:VIOLATIONS_PRINTED]:
+            print(f"  {violation.text}", flush=True)
+    print(f"{count - broken} seeds held, {broken} broken")
+    return EXIT_FAILURE if broken else 0
+
+
+def _whole_number(option: str, text: str) -> int:
+    if not text.isdecimal():
+        raise InvalidInputError(f"{option} {text!r:.60} is not a whole number")
+    return int(text)
+
+
 def _print_progress(text: str) -> None:
     print(text, file=sys.stderr)
 
