Scale run: the channel's queue is lost with its coordinator's process

Traced: 1,654 entries of the ended process still stood in the stand-in of the channel when the next one answered 0.5 s later; from there its backlog was that and what the new process had written, which was within its account.

Change: the stand-in's queue is empty when a process starts.

--- a/granitespool/scale/coordinator_endpoint.py
+++ b/granitespool/scale/coordinator_endpoint.py
@@ -26,6 +26,11 @@
         self.recorder.add(ChannelBacklog(at=now, coordinator=self.coordinator, entries=queued))
         return self.free_at + self.delay
 
+    def clear(self, now: int) -> None:
+        """Discard the queue at `now` (ns), as the end of the coordinator's process does."""
+        self.free_at = now
+        self.recorder.add(ChannelBacklog(at=now, coordinator=self.coordinator, entries=0))
+
 
 class CoordinatorEndpoint:
     """One coordinator as its clients see it."""
--- a/granitespool/scale/coordinators.py
+++ b/granitespool/scale/coordinators.py
@@ -104,6 +104,7 @@
         command = ["-m", "granitespool", "serve", "--config", str(self.path)]
         started_at = self.loop.clock()
         self.log.list_index = self.known.version
+        self.endpoint.channel.clear(started_at)
         self.child = Child(command, coordinators.memory_mb, coordinators.sockets)
         self.loop.spawn(read_lines(self.child, self.log.add_line))
         deadline = started_at + int(self.scenario.times.ready_s * SECOND)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -140,6 +140,15 @@
         message.add({"type": "update", "level": 1.0}, 30)
 
 
+def test_the_queue_of_a_channel_is_lost_with_the_coordinators_process():
+    recorder = Recorder(lambda: 0)
+    channel = ChannelQueue(recorder, "c", Channel(lines_per_s=1000.0, head_lines=4, delay_ms=30))
+    channel.enqueue(0, 996)
+    channel.clear(50 * MILLISECOND)
+    assert channel.enqueue(50 * MILLISECOND, 96) == 150 * MILLISECOND + 30 * MILLISECOND
+    assert [event.entries for event in recorder.events] == pytest.approx([1000, 0, 100])
+
+
 def test_a_channel_delivers_at_its_rate_and_records_its_backlog():
     recorder = Recorder(lambda: 0)
     channel = ChannelQueue(recorder, "c", Channel(lines_per_s=1000.0, head_lines=4, delay_ms=30))
