--- a/granitespool/scale/soak.py
+++ b/granitespool/scale/soak.py
@@ -45,7 +45,7 @@
     grace = round(random.uniform(3.0, 6.0), 1)
     real = random.randint(3, 5)
     proxies_max = int(lines_per_s * grace / ENTRIES_PER_PROXY)
-    proxies = min(random.randint(150, 640), proxies_max if is_crowd else real * proxies_max // 2)
+    proxies = min(random.randint(150, 640), proxies_max if is_crowd else 3 * real * proxies_max // 4)
     backends = random.randint(30, 200)
     return Scenario(
         name=f"soak-{seed}",
