Ordinary changes leave room for the rest of tables that were assigned in parts

Cause: once no proxy waited, ordinary changes might fill half of the queue again, while the rest of the tables keeps to 35 %.

Change: changes keep to a fifth while any proxy has a part, as while any waits. The reference planner has the same rule.

--- a/granitespool/planner/budget.py
+++ b/granitespool/planner/budget.py
@@ -15,7 +15,7 @@
 # excluded is only estimated
 MANDATORY_QUEUE_SHARE = 0.94
 ORDINARY_QUEUE_SHARE = 0.5  # share of the queue that all other updates may fill
-JOINING_QUEUE_SHARE = 0.2  # the same while any proxy is unassigned: assignments go first
+JOINING_QUEUE_SHARE = 0.2  # the same while any proxy lacks its complete table: assignments go first
 # ns at the observed rate that updates may wait in the channel, since a drain queues behind them
 PUBLICATION_LAG_MAX = 2 * SECOND
 DEFAULT_DRAIN_GRACE = SECOND  # ns, where none is configured
--- a/granitespool/planner/publication.py
+++ b/granitespool/planner/publication.py
@@ -150,7 +150,7 @@
             current.few_subscribers = len(self._assignment.proxies) // FEW_SUBSCRIBERS_DIVISOR
         if self._budget.is_mandatory_waiting:
             current.queue_share = 0  # other updates would use the freed capacity and prolong the congestion
-        elif self._assignment.unassigned:
+        elif self._assignment.unassigned or self._tables.partial:
             current.queue_share = JOINING_QUEUE_SHARE
         else:
             current.queue_share = ORDINARY_QUEUE_SHARE
--- a/tests/reference/planner.py
+++ b/tests/reference/planner.py
@@ -486,7 +486,7 @@
         most = rule and RULE_PART * self.channel.limit - self.channel.unanswered(now)
         # An unassigned proxy prolongs an overload with another table: moves yield. Drawback: weights do not
         # change.
-        part = 0 if self.short else JOIN_PART if self.unbound else 0.5
+        part = 0 if self.short else JOIN_PART if self.unbound or self.parts else 0.5
         # Few entries: mostly headers
         crowded = self.channel.room(RULE_PART) < rule / 2 and self.channel.room(0.5) < 0
         for urgency, _, backend, table, want, ordinary in moves:
