Scale run: a new configuration reaches coordinators that are starting too

An operator writes the file whether or not the process answers.

Change: the run writes the file of starting coordinators and sends SIGHUP, which also plays SIGHUP during a start; processes start with SIGHUP ignored, as the deploy file's `run` has it.

--- a/granitespool/scale/coordinators.py
+++ b/granitespool/scale/coordinators.py
@@ -56,6 +56,7 @@
         self.samples: list[Sample] = []  # resource usage of all its processes
         self.ready_times: list[int] = []  # ns from each start to the first answer
         self.exit_codes: list[int] = []
+        self._starting = False  # whether the process has not answered yet
 
     @property
     def name(self) -> str:
@@ -67,6 +68,11 @@
         """Whether the process runs and is ready."""
         return not self.endpoint.down and self.child is not None and not self.child.exited
 
+    @property
+    def is_starting(self) -> bool:
+        """Whether the process was started and has not answered yet."""
+        return self._starting and self.child is not None and not self.child.exited
+
     def write_configuration(self, version: int, valid: bool = True) -> None:
         """Write the configuration file; an invalid file lacks the required settings."""
         configuration = self._configuration(version)
@@ -106,21 +112,24 @@
         self.log.list_index = self.known.version
         self.endpoint.channel.clear(started_at)
         self.child = Child(command, coordinators.memory_mb, coordinators.sockets)
+        self._starting = True
+        version = self.written_version
         self.loop.spawn(read_lines(self.child, self.log.add_line))
         deadline = started_at + int(self.scenario.times.ready_s * SECOND)
         while self.loop.now < deadline and not self.child.exited:
             if (yield from self.request(ping())):
-                self._record_ready(started_at)
+                self._record_ready(started_at, version)
                 return True
             yield None, 0, self.loop.now + POLL_INTERVAL
         return False
 
-    def _record_ready(self, started_at: int) -> None:
+    def _record_ready(self, started_at: int, version: int) -> None:
+        self._starting = False
         now = self.loop.clock()
         self.ready_times.append(now - started_at)
         self.recorder.add(CoordinatorStarted(at=now, coordinator=self.name))
         self.endpoint.down = False
-        self.applied_version = self.written_version
+        self.applied_version = version
 
     def request(self, message: bytes) -> Wait:
         """Send a message on a new connection and return the answer; b"" if none was received."""
--- a/granitespool/scale/processes.py
+++ b/granitespool/scale/processes.py
@@ -130,6 +130,7 @@
             resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
         if memory_mb:
             resource.setrlimit(resource.RLIMIT_DATA, (memory_mb * MEGABYTE, memory_mb * MEGABYTE))
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)  # as `run` of the deploy file does
         signal.pthread_sigmask(signal.SIG_SETMASK, signal_mask)
 
     return prepare
--- a/granitespool/scale/settings_changes.py
+++ b/granitespool/scale/settings_changes.py
@@ -33,6 +33,8 @@
         for coordinator in reached:
             coordinator.write_configuration(self.version, valid)
             coordinator.reload()
+        if valid:
+            self._change_starting()
         deadline = self.loop.now + APPLY_TIMEOUT
         while self.loop.now < deadline and any(
             len(coordinator.log.reloads) == before[coordinator.name] for coordinator in reached
@@ -49,6 +51,13 @@
             )
         yield from self._check(answered, valid)
 
+    def _change_starting(self) -> None:
+        """Write the configuration of coordinators that are starting, and signal them without waiting."""
+        for coordinator in self.environment.coordinators:
+            if coordinator.is_starting:
+                coordinator.write_configuration(self.version)
+                coordinator.reload()
+
     def _reachable(self) -> list[RealCoordinator]:
         cut_off = self.environment.cut_coordinators()
         return [
