Send exclusions to waiting proxies only where these are in time for all

Cause: an exclusion (5 entries with the header) was chosen over a part of a table (7) whenever no part was in time, also where the exclusions were late too. It ends with the next drain; a part ends the waiting.

Change: exclusions are chosen if they are in time for all and parts are not. Where neither is, proxies get parts. The reference planner has the same rule.

Measured: the new test fails on (354 proxies still wait) and passes.

--- a/granitespool/planner/drain_delivery.py
+++ b/granitespool/planner/drain_delivery.py
@@ -5,7 +5,8 @@
 message, those that are due first come first, and what does not fit waits for the next pass.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from functools import partial
 from typing import NamedTuple
 
 from granitespool.planner.actions import ProxyActions
@@ -13,7 +14,7 @@
 from granitespool.planner.budget import MANDATORY_QUEUE_SHARE, ChannelBudget, effective_drain_grace
 from granitespool.planner.outbox import Outbox
 from granitespool.planner.records import Backend
-from granitespool.planner.short_tables import PART_SIZES
+from granitespool.planner.short_tables import PART_SIZE_MIN, PART_SIZES
 from granitespool.planner.status import LateDrains
 from granitespool.settings import Settings
 from granitespool.units import SECOND
@@ -54,9 +55,7 @@
         """
         due_proxies = self._due_proxies({backend.name: backend.left_ready_at for backend in backends})
         served = [due for due in due_proxies if due_before is None or due.due < due_before]
-        size = self._largest_size_in_time(now, served)
-        if size is None:
-            self._report_late(now, served)
+        size = self._part_size(now, served)
         for due_proxy in served:
             if not self._serve(now, due_proxy, size):
                 self._budget.is_mandatory_waiting = True
@@ -78,27 +77,46 @@
                 found.append(DueProxy(began + grace, proxy, lacking))
         return sorted(found)
 
-    def _largest_size_in_time(self, now: int, due_proxies: list[DueProxy]) -> int | None:
-        """Return the largest size of parts with which each proxy is served before it is due, or None."""
-        sizes = (size for size in PART_SIZES if self._is_in_time(now, due_proxies, size))
-        return next(sizes, None)
+    def _part_size(self, now: int, due_proxies: list[DueProxy]) -> int | None:
+        """Return the size of the parts of tables that the proxies are served with.
 
-    def _is_in_time(self, now: int, due_proxies: list[DueProxy], size: int) -> bool:
+        None: exclusions are in time for all, and parts are not, so the shorter message is sent.
+        """
+        for size in PART_SIZES:
+            if self._is_in_time(now, due_proxies, partial(self._part_cost, now, size), IN_TIME_SHARE):
+                return size
+        if self._is_in_time(now, due_proxies, partial(self._part_cost, now, PART_SIZE_MIN), 1.0):
+            return PART_SIZE_MIN
+        if self._is_in_time(now, due_proxies, partial(self._shortest_cost, now), 1.0):
+            return None
+        self._report_late(now, due_proxies)
+        return PART_SIZE_MIN
+
+    def _part_cost(self, now: int, size: int, due_proxy: DueProxy) -> int:
+        """Return the entries of a proxy's part, or of its exclusions if its table is empty."""
+        return self._assignment.part_cost(now, due_proxy.proxy, size) or len(due_proxy.backends)
+
+    def _shortest_cost(self, now: int, due_proxy: DueProxy) -> int:
+        return min(len(due_proxy.backends), self._part_cost(now, PART_SIZE_MIN, due_proxy))
+
+    def _is_in_time(
+        self, now: int, due_proxies: list[DueProxy], cost_of: Callable[[DueProxy], int], share: float
+    ) -> bool:
+        """Return whether each proxy is served within a share of the time that is left until it is due."""
         account = self._budget.account
         entries = account.in_flight
         for due_proxy in due_proxies:
-            entries += self._assignment.part_cost(now, due_proxy.proxy, size) + account.header
-            time_left = IN_TIME_SHARE * (due_proxy.due - now)
-            if entries > account.observed_rate * time_left / SECOND:
+            entries += cost_of(due_proxy) + account.header
+            if entries > account.observed_rate * share * (due_proxy.due - now) / SECOND:
                 return False
         return True
 
     def _serve(self, now: int, due_proxy: DueProxy, size: int | None) -> bool:
-        """Send a proxy a part of its table, or its exclusions where these are cheaper and parts are late.
+        """Send a proxy a part of its table or its exclusions; return False if the channel has no capacity.
 
-        Return False if the channel has no capacity.
+        `size` is the result of `_part_size`.
         """
-        part_size = min(PART_SIZES) if size is None else size
+        part_size = PART_SIZE_MIN if size is None else size
         part_cost = self._assignment.part_cost(now, due_proxy.proxy, part_size)
         is_part = part_cost > 0 and (size is not None or part_cost <= len(due_proxy.backends))
         account = self._budget.account
@@ -117,8 +135,7 @@
         entries = account.in_flight
         lateness = []
         for due_proxy in due_proxies:
-            part_cost = self._assignment.part_cost(now, due_proxy.proxy, min(PART_SIZES))
-            entries += min(part_cost or len(due_proxy.backends), len(due_proxy.backends)) + account.header
+            entries += self._shortest_cost(now, due_proxy) + account.header
             lateness.append(now + int(entries / account.observed_rate * SECOND) - due_proxy.due)
         late_proxies = sum(late > 0 for late in lateness)
         if late_proxies:
--- a/granitespool/planner/short_tables.py
+++ b/granitespool/planner/short_tables.py
@@ -12,6 +12,7 @@
 
 # Entries of a part at least, largest first: a proxy spreads its requests over so few backends for seconds
 PART_SIZES = (8, 4, 2)
+PART_SIZE_MIN = PART_SIZES[-1]
 
 
 class ShortTables:
--- a/tests/planner/test_restart_in_deploy.py
+++ b/tests/planner/test_restart_in_deploy.py
@@ -55,3 +55,12 @@
     fleet = RestartedFleet(150, 900, GRACE, missed=30)
     fleet.run(10)
     assert not fleet.coordinator.queues[Queue.LATE_DRAINS]
+
+
+# Guards against exclusions that are sent again and again while no proxy is assigned its table
+def test_each_proxy_has_entries_of_its_table_though_a_backend_drains_each_two_seconds():
+    fleet = RestartedFleet(400, 730, GRACE, missed=0, backends=30, coordinators=2)
+    entries_each = 4 + 1 + 2  # header, barrier and complete table, two entries
+    changes = 10 * 400 * (4 + 1)  # each drain at each proxy
+    fleet.deploy(1, 2.0, 10, seconds=(400 * entries_each + changes) / 730)
+    assert not fleet.coordinator.planner.assignment.unassigned
--- a/tests/reference/planner.py
+++ b/tests/reference/planner.py
@@ -621,12 +621,14 @@
             if lacks:
                 due.append((max(since, min(gone[b] for b in lacks)) + grace, proxy, lacks))
         now_due = sorted(each for each in due if not kept or each[0] < min(kept) + grace)
-        size = next((size for size in (8, 4, 2) if self._in_time(now, now_due, size)), None)
+        tried = ((8, 0.5), (4, 0.5), (2, 0.5), (2, 1.0))
+        size = next((size for size, share in tried if self._in_time(now, now_due, size, share)), None)
+        least = size is None and self._in_time(now, now_due, None, 1.0)  # exclusions, where they are cheaper
         done = len(now_due) == len(due)
         for _, proxy, lacks in now_due:
             part = self._part(now, proxy, size or 2)
             cost = self._part_cost(proxy, part)
-            whole = part and (size or cost <= len(lacks))
+            whole = part and (not least or cost <= len(lacks))
             if (cost if whole else len(lacks)) + self.channel.head > self.channel.room(RULE_PART):
                 self.short, done = True, False
                 break
@@ -643,11 +645,12 @@
         for backend in gone:
             self.backends[backend].sent["out"] = True if done else None
 
-    def _in_time(self, now, due, size):
+    def _in_time(self, now, due, size, share):
         work = self.channel.waiting
-        for when, proxy, _ in due:
-            work += self._part_cost(proxy, self._part(now, proxy, size)) + self.channel.head
-            if work > self.channel.met * (0.5 * (when - now)) / SECOND:
+        for when, proxy, lacks in due:
+            cost = self._part_cost(proxy, self._part(now, proxy, size or 2)) or len(lacks)
+            work += (cost if size else min(cost, len(lacks))) + self.channel.head
+            if work > self.channel.met * share * (when - now) / SECOND:
                 return False
         return True
 
