Ordinary changes wait no longer than a third of the drain grace in the channel

Change: what ordinary changes and admission levels may leave before a drain is at most two seconds and at most a third of the grace, the share that assignments keep to for the same reason; the share is defined once. Without a grace nothing changes. The reference planner has the same rule.

--- a/granitespool/planner/admission.py
+++ b/granitespool/planner/admission.py
@@ -8,7 +8,7 @@
     admission_entries_max,
     admitted_shares,
 )
-from granitespool.planner.budget import MANDATORY_QUEUE_SHARE, PUBLICATION_LAG_MAX, ChannelBudget
+from granitespool.planner.budget import MANDATORY_QUEUE_SHARE, ChannelBudget
 from granitespool.planner.outbox import Outbox
 from granitespool.planner.overload import OverloadDetector
 from granitespool.planner.tables import TableDirectory
@@ -16,7 +16,7 @@
 
 PER_SECOND_UNLIMITED = 1e6  # requests a second at a proxy: admits everything
 # Levels are sent only while less than this share of the queue is in flight, which at the observed rate leaves
-# within `PUBLICATION_LAG_MAX`
+# within the publication lag
 QUEUE_SHARE = 0.5
 # 1: only attempts that provably never ran are retried, so that no effect happens twice
 RETRIES = 1
@@ -67,7 +67,7 @@
             cost = len(self._tables.subscribers[table]) * (self.entries_max + self._budget.account.header)
             if table in self._published_to or not self._tables.subsets.proxies[table]:
                 continue
-            if self._budget.account.capacity_left(QUEUE_SHARE, PUBLICATION_LAG_MAX) <= 0:
+            if self._budget.account.capacity_left(QUEUE_SHARE, self._budget.publication_lag) <= 0:
                 continue
             if cost <= self._budget.account.capacity_left(MANDATORY_QUEUE_SHARE):
                 self._order(now, table, levels)
--- a/granitespool/planner/assignment.py
+++ b/granitespool/planner/assignment.py
@@ -4,7 +4,12 @@
 
 from granitespool.planner.actions import PlannerActions
 from granitespool.planner.admission_levels import OrderedLevels
-from granitespool.planner.budget import MANDATORY_QUEUE_SHARE, ChannelBudget, effective_drain_grace
+from granitespool.planner.budget import (
+    LAG_GRACE_SHARE,
+    MANDATORY_QUEUE_SHARE,
+    ChannelBudget,
+    effective_drain_grace,
+)
 from granitespool.planner.outbox import Outbox
 from granitespool.planner.records import UnassignedProxy
 from granitespool.planner.short_tables import ShortTables
@@ -12,8 +17,6 @@
 from granitespool.settings import Settings
 
 QUEUE_SHARE = 0.35  # share of the queue that assignments may fill: drains need the rest
-# Share of the drain grace that assignments may take at the observed rate, since a drain queues behind them
-GRACE_SHARE = 1 / 3
 # Share of the drain grace, counted from the start of a drain, in which assignments may precede it
 DRAIN_GRACE_SHARE = 0.5
 # A proxy that has waited for the drain grace divided by this is assigned first: its table is outdated
@@ -151,7 +154,7 @@
         account = self._budget.account
         if before_drain is None:
             grace = self.settings.drain_grace
-            return account.capacity_left(QUEUE_SHARE, grace and GRACE_SHARE * grace)
+            return account.capacity_left(QUEUE_SHARE, grace and LAG_GRACE_SHARE * grace)
         time_left = before_drain + DRAIN_GRACE_SHARE * self._drain_grace - now
         if time_left <= 0:
             return -account.in_flight
--- a/granitespool/planner/planner.py
+++ b/granitespool/planner/planner.py
@@ -153,6 +153,7 @@
         self.in_flight.apply_settings(settings)
         self.admission.apply_settings(settings)
         for part in (
+            self.budget,
             self.slow_start,
             self.overload,
             self.weights,
--- a/granitespool/planner/publication.py
+++ b/granitespool/planner/publication.py
@@ -14,7 +14,6 @@
     JOINING_QUEUE_SHARE,
     MANDATORY_QUEUE_SHARE,
     ORDINARY_QUEUE_SHARE,
-    PUBLICATION_LAG_MAX,
     ChannelBudget,
 )
 from granitespool.planner.candidates import Candidate, CandidateSelection
@@ -247,7 +246,7 @@
     def _capacity_for(self, current: PublicationPass, candidate: Candidate) -> float:
         account = self._budget.account
         if not candidate.is_mandatory:
-            return account.capacity_left(current.queue_share, PUBLICATION_LAG_MAX)
+            return account.capacity_left(current.queue_share, self._budget.publication_lag)
         return account.capacity_left(0 if current.is_congested else MANDATORY_QUEUE_SHARE)
 
     def _exceeds_tokens(self, candidate: Candidate, cost: float) -> bool:
--- a/tests/reference/planner.py
+++ b/tests/reference/planner.py
@@ -477,6 +477,7 @@
         moves.sort(key=lambda move: (move[0], move[0] and brings[move[3]], move))
         if moves and not moves[0][0] and self._outstanding(moves[0][1][0]):
             self._bind_next(now, moves[0][1][0])
+        ahead = min(AHEAD, (self.settings.get("drain_grace") or 1e18) / 3)
         few = len(self.proxies) // FEW if self.channel.room(1, PERIOD // 4) > 0 else 0
         rules = defaultdict(Counter)  # table -> proxy -> mandatory entries in its message
         for urgency, _, backend, table, _, _ in moves:
@@ -498,7 +499,7 @@
             if urgency and held and (ordinary or (table not in touched and len(self.users[table]) > few)):
                 self.later = True  # an alarm to few proxies needs no gap if the queue is empty
                 continue
-            room = self.channel.room(part, AHEAD) if urgency else self.channel.room(RULE_PART * (not crowded))
+            room = self.channel.room(part, ahead) if urgency else self.channel.room(RULE_PART * (not crowded))
             # The mandatory entries of a table wait for each other, if they can ever fit: one header
             together = sum(rules[table].values()) + len(rules[table]) * self.channel.head
             if urgency or table in touched or together > most:
@@ -523,7 +524,7 @@
         for table in sum(self.tables.values(), []):
             cost = len(self.users[table]) * (self.level_lines + self.channel.head)
             used = shares and self.subsets.proxies[table]
-            if used and self.channel.room(0.5, AHEAD) > 0 and cost <= self.channel.room(RULE_PART):
+            if used and self.channel.room(0.5, ahead) > 0 and cost <= self.channel.room(RULE_PART):
                 self._levels(now, table, *self.let_in)
         if self.channel.serial != before:
             self.flushed_at, self.next_flush = now, now + int(MESSAGE_ROOM * self.channel.message_gap)
