Scale run: runs at the same time use different loopback networks

Cause: three soaks side by side ended with "Address already in use" at 127.250.8.1: each run drew one of 190 networks, whatever the others had.

Change: a run listens at the first address of its network while it uses it, and takes another one if that is taken.

Measured: a test with 40 reservations.

--- a/granitespool/scale/run.py
+++ b/granitespool/scale/run.py
@@ -2,9 +2,11 @@
 
 import os
 import secrets
+import socket
 import tempfile
 from collections import Counter
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from random import Random
 
@@ -30,9 +32,24 @@
 FAILURES_LIMIT = 50  # failures after which a run is aborted
 CONCURRENT_STARTS = 4  # coordinators expected to start within one start timeout
 
+RESERVATION_PORT = 7399  # listened on at the first address of a network while a run uses it
+
 Progress = Callable[[str], None]
 
 
+def reserve_network() -> tuple[socket.socket, Network]:
+    """Return a network that no other run uses, and the socket that reserves it until it is closed.
+
+    Raises:
+        InvalidInputError: All networks are in use.
+
+    """
+    for number in Random(secrets.randbits(64)).sample(NETWORKS, len(NETWORKS)):
+        with suppress(OSError):
+            return socket.create_server((f"127.{number}.0.1", RESERVATION_PORT)), Network(number)
+    raise InvalidInputError(f"all {len(NETWORKS)} loopback networks are in use by other runs")
+
+
 class Run:
     """One run of a scenario; `play` executes it, stops all its processes and keeps the measurements."""
 
@@ -49,7 +66,7 @@
         self.failures: list[str] = []
         self.loop = Loop(self._coroutine_failed)
         self.load_before = os.getloadavg()[0]
-        self.network = Network(NETWORKS.start + secrets.randbelow(len(NETWORKS)))
+        self._reservation, self.network = reserve_network()
         self.fleet = GeneratedFleet(scenario, self.network, Random(scenario.scale.seed))
         self.plan = Plan(scenario, self.fleet, Random(scenario.scale.seed)).planned
         self.digest = plan_digest(self.plan)
@@ -89,6 +106,7 @@
             self.loop.stop()
 
     def _close(self) -> None:
+        self._reservation.close()
         hollow = self.hollow.children if self.hollow else []
         if not self._started:
             self.loop.close()
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -28,7 +28,7 @@
 from granitespool.scale.proxy_message import IncomingMessage
 from granitespool.scale.queries import proxy_allowed
 from granitespool.scale.recorder import Recorder
-from granitespool.scale.run import Run
+from granitespool.scale.run import Run, reserve_network
 from granitespool.scale.samples import worst_second
 from granitespool.scale.schema import Channel
 from granitespool.scale.size_check import check_size
@@ -140,6 +140,13 @@
         message.add({"type": "update", "level": 1.0}, 30)
 
 
+def test_runs_at_the_same_time_use_different_loopback_networks():
+    reserved = [reserve_network() for _ in range(40)]
+    for reservation, _ in reserved:
+        reservation.close()
+    assert len({network.number for _, network in reserved}) == 40
+
+
 def test_the_queue_of_a_channel_is_lost_with_the_coordinators_process():
     recorder = Recorder(lambda: 0)
     channel = ChannelQueue(recorder, "c", Channel(lines_per_s=1000.0, head_lines=4, delay_ms=30))
