Follow the last backend of a part of a table with further entries, not with the rest

Cause: a proxy whose part would become empty was sent the whole rest of its table, a dozen entries, ahead of everything that is due, at each of over a hundred proxies.

Change: it is sent further entries, 4 to 7, of warm backends that do not drain; the rest of the table follows as for all others. The reference planner has the same rule.

--- a/granitespool/coordinator.py
+++ b/granitespool/coordinator.py
@@ -292,6 +292,10 @@
         """Assign a joined proxy to a table for all classes, with the entries of these backends only."""
         self.updates.assign_part(proxy, table, backends)
 
+    def extend_part(self, proxy: int, table: int, backends: Iterable[str]) -> None:
+        """Add the entries of further backends to a proxy that has a part of its table."""
+        self.updates.extend_part(proxy, table, backends)
+
     def complete_table(self, proxy: int, table: int) -> None:
         """Add the rest of its table to a proxy that has a part of it."""
         self.updates.complete_table(proxy, table)
--- a/granitespool/planner/actions.py
+++ b/granitespool/planner/actions.py
@@ -22,6 +22,9 @@
         The proxy is sent changes of these entries alone until `complete_table` is called.
         """
 
+    def extend_part(self, proxy: int, table: int, backends: Iterable[str]) -> None:
+        """Send a proxy that has a part of its table the entries of further backends, and their changes."""
+
     def complete_table(self, proxy: int, table: int) -> None:
         """Send a proxy that has a part of its table the rest of the entries."""
 
--- a/granitespool/planner/outbox.py
+++ b/granitespool/planner/outbox.py
@@ -5,6 +5,7 @@
 
 from granitespool.planner.actions import PlannerActions, ProxyActions
 from granitespool.planner.in_flight import InFlightAccount
+from granitespool.planner.short_tables import ShortTables
 from granitespool.planner.tables import TableDirectory
 
 
@@ -21,8 +22,15 @@
 class Outbox:
     """Takes the planner actions that use the channel, and reserves their entries."""
 
-    def __init__(self, actions: PlannerActions, account: InFlightAccount, tables: TableDirectory) -> None:
+    def __init__(
+        self,
+        actions: PlannerActions,
+        account: InFlightAccount,
+        tables: TableDirectory,
+        short_tables: ShortTables,
+    ) -> None:
         self._actions = actions
+        self._short_tables = short_tables
         self._account = account
         self._tables = tables
         # kind -> entries reserved since the start; a message's header counts for its first entries
@@ -47,7 +55,7 @@
         recipients = self._tables.recipients(table, backend)
         if not weight:
             for proxy in [proxy for proxy in recipients if self._tables.would_empty(proxy, backend)]:
-                self.complete_table(now, proxy, table, kind)
+                self._replace_last_entry(now, proxy, table, kind)
         self._actions.set_entry(table, backend, weight)
         for proxy in recipients:
             self.reserve(now, proxy, 2 if proxy in readmitted else 1, kind)
@@ -92,6 +100,30 @@
         if entries:
             self.reserve(now, proxy, entries, kind)
 
+    def replacement_cost(self, now: int, proxy: int, table: int) -> int:
+        """Return the entries that it costs to replace the last entry of a proxy's part."""
+        backends = self._short_tables.further_entries(now, table, self._tables.partial[proxy])
+        if not backends:
+            return self.completion_cost(proxy, table)
+        return len(backends) + self._readmission_cost(proxy, table, backends)
+
+    def _replace_last_entry(self, now: int, proxy: int, table: int, kind: EntryKind) -> None:
+        """Send a proxy further entries of its table, or the rest of it, before its part becomes empty."""
+        backends = self._short_tables.further_entries(now, table, self._tables.partial[proxy])
+        if not backends:
+            self.complete_table(now, proxy, table, kind)
+            return
+        entries = self.replacement_cost(now, proxy, table)
+        self._proxy_actions.extend_part(proxy, table, backends)
+        self._short_tables.count_assigned(table)
+        self._tables.partial[proxy].update(backends)
+        self.reserve(now, proxy, entries, kind)
+
+    def _readmission_cost(self, proxy: int, table: int, backends: Iterable[str]) -> int:
+        return sum(
+            sum(self._actions.readmission_cost((proxy,), table, backend).values()) for backend in backends
+        )
+
     def completion_cost(self, proxy: int, table: int) -> int:
         """Return the entries that the rest of a proxy's table costs."""
         readmitted = self._actions.readmission_cost((proxy,), table)
--- a/granitespool/planner/planner.py
+++ b/granitespool/planner/planner.py
@@ -108,9 +108,9 @@
 
     def _create_publication(self, actions: PlannerActions, settings: Settings) -> None:
         fleet, dirty, tables, budget = self.fleet, self.dirty, self.tables, self.budget
-        outbox = self.outbox = Outbox(actions, self.in_flight, tables)
-        self.admission = AdmissionControl(settings, self.overload, tables, budget, outbox)
         short_tables = ShortTables(fleet, self.slow_start)
+        outbox = self.outbox = Outbox(actions, self.in_flight, tables, short_tables)
+        self.admission = AdmissionControl(settings, self.overload, tables, budget, outbox)
         self.assignment = ProxyAssignment(
             settings, actions, tables, self.admission.ordered_levels, budget, outbox, short_tables
         )
--- a/granitespool/planner/publication.py
+++ b/granitespool/planner/publication.py
@@ -210,14 +210,14 @@
         if candidate.table not in current.updated_tables:
             per_subscriber += self._budget.account.header
         recipients = self._tables.recipients(candidate.table, candidate.backend.name)
-        completions = 0
+        replacements = 0
         if self._tables.partial and not candidate.weight:
-            completions = sum(
-                self._outbox.completion_cost(proxy, candidate.table)
+            replacements = sum(
+                self._outbox.replacement_cost(current.now, proxy, candidate.table)
                 for proxy in recipients
                 if self._tables.would_empty(proxy, candidate.backend.name)
             )
-        return readmitted + len(recipients) * per_subscriber + completions
+        return readmitted + len(recipients) * per_subscriber + replacements
 
     def _entries_sent_together(self, current: PublicationPass, candidate: Candidate) -> float:
         """Return the entries of the mandatory updates that wait for each other, if the queue can hold them.
--- a/granitespool/proxy_updates.py
+++ b/granitespool/proxy_updates.py
@@ -196,6 +196,16 @@
         """Assign a joined proxy to a table for all classes, with the entries of these backends only."""
         self._assign(proxy, table, self.all_classes, set(backends))
 
+    def extend_part(self, proxy: int, table: int, backends: Iterable[str]) -> None:
+        """Add the entries of further backends to the pending update of a proxy with a part of its table."""
+        subscriber = self.proxies.get(proxy)
+        if subscriber is None or subscriber.part is None:
+            return
+        for backend in backends:
+            subscriber.part.add(backend)
+            self.touched[proxy] = None
+            self._write_entry(subscriber, self.all_classes, backend, self.tables[table][backend])
+
     def complete_table(self, proxy: int, table: int) -> None:
         """Add the entries of its table that a proxy lacks to its pending update."""
         subscriber = self.proxies.get(proxy)
--- a/tests/planner/test_short_tables.py
+++ b/tests/planner/test_short_tables.py
@@ -57,15 +57,18 @@
 
 
 # Guards against a proxy without a backend because all backends of its part drain
-def test_a_proxy_whose_part_drains_gets_the_rest_of_its_table_first():
+def test_a_proxy_whose_part_drains_gets_further_entries_of_its_table_first():
     fleet = fleet_with_parts()
     proxy, part = min(partial(fleet).items(), key=lambda item: len(item[1]))
     drained = sorted(part)
     fleet.ready = drained + [name for name in fleet.ready if name not in part]
     fleet.drain(len(drained))
+    further = set()
     for _ in range(120):
         fleet.turn()
         assert fleet.tables[proxy].weights.keys() - fleet.tables[proxy].excluded
+        further = further or partial(fleet).get(proxy, part) - set(drained)
+    assert 0 < len(further) < len(table_of(fleet, proxy))
     assert not fleet.usable(proxy) & set(drained)
 
 
--- a/tests/reference/planner.py
+++ b/tests/reference/planner.py
@@ -495,7 +495,7 @@
             empty = [p for p in users if not want and self.parts.get(p) == {backend}]
             back = self.host.returns(users, table, rec.id) if want and not rec.sent.get(table) else {}
             cost = len(back) + len(users) * (1 if table in touched else 1 + self.channel.head)
-            cost += sum(self._rest(p, table) for p in empty)
+            cost += sum(self._spare_cost(now, p, table) for p in empty)
             if urgency and held and (ordinary or (table not in touched and len(self.users[table]) > few)):
                 self.later = True  # an alarm to few proxies needs no gap if the queue is empty
                 continue
@@ -511,7 +511,7 @@
             self.credit -= cost * ordinary
             touched.add(table)
             for proxy in empty:
-                self._complete(now, proxy, table)
+                self._spare(now, proxy, table)
             self._order(now, users, self.host.weigh, table, rec.id, want, more=back)
             for proxy in users if not want else ():
                 self.parts.get(proxy, set()).discard(backend)
@@ -656,8 +656,10 @@
         return True
 
     def _part(self, now, proxy, size):
-        """Return the servers of the next part of a proxy's table: warm ones, if there are eight of them."""
-        table, _ = self.proxies[proxy]
+        return self._next_part(now, self.proxies[proxy][0], size)
+
+    def _next_part(self, now, table, size):
+        """Return the servers of the next part of a table: warm ones, if there are eight of them."""
         held = [rec for rec in self.backends.values() if rec.phase == "ready" and rec.sent.get(table)]
         warm = [rec for rec in held if self.warm(now, rec) >= 1]
         held = [rec.id for rec in (warm if len(warm) >= 8 else held)]
@@ -677,6 +679,25 @@
         back = sum(self.host.returns((proxy,), table).values())
         return self.lines[table] - len(self.parts[proxy]) + back
 
+    def _more(self, now, proxy, table):
+        return [b for b in self._next_part(now, table, 4) if b not in self.parts[proxy]]
+
+    def _spare_cost(self, now, proxy, table):
+        more = self._more(now, proxy, table)
+        back = sum(sum(self.host.returns((proxy,), table, b).values()) for b in more)
+        return len(more) + back if more else self._rest(proxy, table)
+
+    def _spare(self, now, proxy, table):
+        """Replace the last entry of a proxy's part by further ones, or by the rest of the table."""
+        more = self._more(now, proxy, table)
+        if not more:
+            return self._complete(now, proxy, table)
+        cost = self._spare_cost(now, proxy, table)
+        self.handed[table] += 1
+        self.host.extend_part(proxy, table, more)
+        self.parts[proxy].update(more)
+        self._count(now, proxy, cost)
+
     def _complete(self, now, proxy, table):
         rest = self._rest(proxy, table)
         del self.parts[proxy]
--- a/tests/support/planner_comparison.py
+++ b/tests/support/planner_comparison.py
@@ -30,6 +30,7 @@
     "assign",
     "assign_part",
     "complete_table",
+    "extend_part",
     "exclude",
     "exclude_for",
     "end_exclusion",
