The planner's actions stand in a class of their own, and a proxy forms its own update

Change: CoordinatorActions (coordinator_actions.py) has the actions, the queues and the timers, and Coordinator is derived from it; Subscriber.take_update forms a proxy's message. Code is moved, no statement changes.

--- a/granitespool/coordinator.py
+++ b/granitespool/coordinator.py
@@ -12,12 +12,12 @@
 
 import heapq
 import traceback
-from collections import deque
-from collections.abc import Callable, Iterable, Mapping
-from typing import Any, Literal, NamedTuple, overload
+from collections.abc import Callable, Iterable
+from typing import Any, Literal, overload
 
 import msgspec
 
+from granitespool.coordinator_actions import CoordinatorActions
 from granitespool.coordinator_status import (
     CoordinatorBackendStatus,
     CoordinatorMetrics,
@@ -36,7 +36,6 @@
     Recipient,
     RemovedBackend,
 )
-from granitespool.planner.admission_levels import AdmissionLevel
 from granitespool.planner.events import (
     EndpointListUpdate,
     Event,
@@ -46,9 +45,7 @@
     ProxyLeft,
 )
 from granitespool.planner.planner import Planner
-from granitespool.planner.records import UnassignedProxy
 from granitespool.planner.status import LateDrains, Outliers, Snapshot
-from granitespool.proxy_updates import ProxyUpdates
 from granitespool.settings import Settings
 
 # Settings that change only by a restart, since the coordinator's state depends on them: field -> name in the
@@ -61,29 +58,15 @@
 }
 
 
-class _Timer(NamedTuple):
-    due: int  # ns
-    number: int  # timers with the same due time expire in the order in which they were set
-    cookie: str
-
-
-class Coordinator:
-    """A planner, the actions that it takes, and the pending messages of each recipient.
-
-    The methods from `set_entry` on are the planner's actions (`granitespool.planner.actions`).
-    """
+class Coordinator(CoordinatorActions):
+    """A planner, the actions that it takes, and the pending messages of each recipient."""
 
     def __init__(self, settings: Settings, seed: int, now: int) -> None:
+        super().__init__(settings.class_names, now)
         self.settings = settings
         self.classes = settings.class_names
-        self.now = now
         self.load_reports = 0  # received since the start
-        self.updates = ProxyUpdates(self.classes)
-        self.queues: dict[Queue, deque[OutgoingMessage]] = {queue: deque() for queue in Queue}
-        self.timers: list[_Timer] = []  # a heap
-        self._timer_count = 0
         self._list_changes: list[Endpoint] = []  # reported and not handled yet, in order
-        self._barrier: int | None = None  # number of this turn's acknowledgement barrier
         self._on_event: dict[type[Event], Callable[[Any], None]] = {
             LoadReport: self._on_load_report,
             ProxyJoined: self._on_proxy_joined,
@@ -264,108 +247,3 @@
     def joined_zones(self) -> set[str]:
         """Return the zones that proxies have joined from."""
         return self.planner.inspection.joined_zones()
-
-    # The planner's actions
-
-    def set_entry(self, table: int, backend: str, weight: float) -> None:
-        """Set one entry of a table; weight 0 removes it."""
-        self.updates.set_entry(table, backend, weight)
-
-    def reset_table(self, table: int) -> None:
-        """Remove all entries and admission levels of a table."""
-        self.updates.reset_table(table)
-
-    def assign(self, proxy: int, table: int, classes: int) -> None:
-        """Assign a joined proxy to a table for some classes, until the proxy leaves."""
-        self.updates.assign(proxy, table, classes)
-
-    def exclude(self, backend: str, excluded: bool) -> None:
-        """Exclude a backend from all tables that joined proxies use, or readmit it."""
-        self.updates.exclude(backend, excluded)
-
-    @property
-    def proxy_actions(self) -> "Coordinator":
-        """The actions that concern one proxy: each proxy has a stream of its own."""
-        return self
-
-    def assign_part(self, proxy: int, table: int, backends: Iterable[str]) -> None:
-        """Assign a joined proxy to a table for all classes, with the entries of these backends only."""
-        self.updates.assign_part(proxy, table, backends)
-
-    def extend_part(self, proxy: int, table: int, backends: Iterable[str]) -> None:
-        """Add the entries of further backends to a proxy that has a part of its table."""
-        self.updates.extend_part(proxy, table, backends)
-
-    def complete_table(self, proxy: int, table: int) -> None:
-        """Add the rest of its table to a proxy that has a part of it."""
-        self.updates.complete_table(proxy, table)
-
-    def exclude_for(self, proxy: int, backends: Iterable[str]) -> None:
-        """Exclude backends at one unassigned proxy."""
-        self.updates.exclude_for(proxy, backends)
-
-    def missing_exclusions(self, proxy: int, backends: Iterable[str]) -> list[str]:
-        """Return which of these backends a proxy was not sent an exclusion of on its stream."""
-        return self.updates.missing_exclusions(proxy, backends)
-
-    def report_late_drains(self, late: LateDrains) -> None:
-        """Queue a report of drains that reach proxies too late."""
-        self.queues[Queue.LATE_DRAINS].append(late)
-
-    def end_exclusion(self, backend: str) -> None:
-        """Readmit a backend, at each proxy together with its first table entry of the backend."""
-        self.updates.excluded.discard(backend)
-
-    def exclusion_cost(
-        self, backend: str, excluded: bool, unassigned: Mapping[int, UnassignedProxy], backend_count: int
-    ) -> Mapping[int, float]:
-        """Return the table entries that `exclude` would cost now, by proxy."""
-        # Inputs of an estimate, which is not needed here: the exclusions of each proxy are recorded
-        del unassigned, backend_count
-        return self.updates.exclusion_cost(backend, excluded)
-
-    def readmission_cost(
-        self, proxies: Iterable[int], table: int, backend: str | None = None
-    ) -> Mapping[int, int]:
-        """Return the table entries, by proxy, that readmit backends which these may have excluded."""
-        return self.updates.readmission_cost(proxies, table, backend)
-
-    def set_admission(self, table: int, classes: int, share: float, retries: int) -> None:
-        """Set the admitted share of some classes, and how proxies retry them (0 to 3)."""
-        self.updates.set_admission(table, classes, AdmissionLevel(share, retries))
-
-    def request_acknowledgement(self, sequence: int, all_proxies: bool) -> None:
-        """Request an acknowledgement from each proxy that gets a message in this turn."""
-        self._barrier = sequence
-        if all_proxies:
-            self.updates.touch_all()
-
-    def check_health(self, backend: str) -> None:
-        """Queue a health check, unless one is queued already."""
-        request = HealthCheckRequest(backend)
-        if request not in self.queues[Queue.HEALTH_CHECKS]:
-            self.queues[Queue.HEALTH_CHECKS].append(request)
-
-    def remove_backend(self, backend: str) -> None:
-        """Remove all records of a backend that is gone; only the endpoint list can add it again."""
-        self.updates.remove_backend(backend)
-        self.queues[Queue.REMOVED_BACKENDS].append(RemovedBackend(backend))
-
-    def subscribe(self, enabled: bool) -> None:
-        """Do nothing: the service watches the endpoint list all the time."""
-
-    def fetch_endpoints(self) -> None:
-        """Do nothing: the watch fetches the complete list after a gap."""
-
-    def set_timer(self, delay: int, cookie: str) -> None:
-        """Call the planner's `on_timer` with this cookie after a delay (ns)."""
-        self._timer_count += 1
-        heapq.heappush(self.timers, _Timer(self.now + delay, self._timer_count, cookie))
-
-    def send_gossip(self, peer: int, payload: str) -> None:
-        """Queue a datagram of at most 256 bytes (in hex) to a peer, or to all with -1."""
-        self.queues[Queue.GOSSIP].append(GossipMessage(peer, payload))
-
-    def log(self, text: str) -> None:
-        """Queue a text to be logged."""
-        self.queues[Queue.INTERNAL_ERRORS].append(InternalError(text))
--- a/granitespool/proxy_updates.py
+++ b/granitespool/proxy_updates.py
@@ -4,7 +4,7 @@
 fetched yet, and records which backends each proxy may exclude. It decides nothing and does no I/O.
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator
 
 from granitespool.outgoing import LevelUpdate, ProxyUpdate, TableUpdate
 from granitespool.planner.admission_levels import AdmissionLevel
@@ -51,6 +51,38 @@
             self.sent_exclusions[backend] = excluded
         return is_needed
 
+    def take_update(self, class_names: list[str | None]) -> ProxyUpdate:
+        """Return the pending update and clear it; `class_names` has all request classes in their order."""
+        update = ProxyUpdate(
+            tables=[
+                TableUpdate(_names_of(classes, class_names), classes in self.complete, entries)
+                for classes, entries in self.entries.items()
+            ],
+            levels=self._level_updates(class_names),
+            excluded=[backend for backend, excluded in self.exclusions.items() if excluded],
+            readmitted=[backend for backend, excluded in self.exclusions.items() if not excluded],
+            barrier=self.barrier,
+        )
+        self.clear()
+        return update
+
+    def _level_updates(self, class_names: list[str | None]) -> list[LevelUpdate]:
+        """Return one update for each level, with all classes that have it."""
+        groups: dict[AdmissionLevel, Classes] = {}
+        for position, level in sorted(self.levels.items()):
+            groups[level] = groups.get(level, 0) | 1 << position
+        return [
+            LevelUpdate(_names_of(classes, class_names), level.share, level.retries)
+            for level, classes in groups.items()
+        ]
+
+
+def _names_of(classes: Classes, class_names: list[str | None]) -> list[str | None] | None:
+    """Return the names of a set of classes, or None if it has all of them."""
+    if classes == (1 << len(class_names)) - 1:
+        return None
+    return [name for position, name in enumerate(class_names) if classes >> position & 1]
+
 
 class ProxyUpdates:
     """The tables as ordered, their subscribers, and the pending update of each proxy."""
@@ -104,34 +136,7 @@
         if proxy not in self.waiting:
             return None
         del self.waiting[proxy]
-        subscriber = self.proxies[proxy]
-        update = ProxyUpdate(
-            tables=[
-                TableUpdate(self._names_of(classes), classes in subscriber.complete, entries)
-                for classes, entries in subscriber.entries.items()
-            ],
-            levels=self._level_updates(subscriber.levels),
-            excluded=[backend for backend, excluded in subscriber.exclusions.items() if excluded],
-            readmitted=[backend for backend, excluded in subscriber.exclusions.items() if not excluded],
-            barrier=subscriber.barrier,
-        )
-        subscriber.clear()
-        return update
-
-    def _names_of(self, classes: Classes) -> list[str | None] | None:
-        if classes == self.all_classes:
-            return None
-        return [name for position, name in enumerate(self.class_names) if classes >> position & 1]
-
-    def _level_updates(self, levels: Mapping[int, AdmissionLevel]) -> list[LevelUpdate]:
-        """Return one update for each level, with all classes that have it."""
-        groups: dict[AdmissionLevel, Classes] = {}
-        for position, level in sorted(levels.items()):
-            groups[level] = groups.get(level, 0) | 1 << position
-        return [
-            LevelUpdate(self._names_of(classes), level.share, level.retries)
-            for level, classes in groups.items()
-        ]
+        return self.proxies[proxy].take_update(self.class_names)
 
     # Tables
 
